--- /dev/null
+++ b/packages/admission/src/sardineyard/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queues by priority and team, reserved shares and early refusal."""
--- /dev/null
+++ b/packages/agent/src/sardineyard/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon beside each upstream."""
--- /dev/null
+++ b/packages/configsync/src/sardineyard/configsync/__init__.py
@@ -0,0 +1,1 @@
+"""Following the configuration document from the platform and from peers."""
--- /dev/null
+++ b/packages/console/src/sardineyard/console/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' forms that produce a validated document."""
--- /dev/null
+++ b/packages/core/src/sardineyard/core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, states, error kinds, clocks, mailboxes and task supervision."""
--- /dev/null
+++ b/packages/core/src/sardineyard/core/errors.py
@@ -0,0 +1,205 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@unique
+class Outcome(Enum):
+    """Say what is known about the execution of a request."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@unique
+class ErrorKind(Enum):
+    """Name every reason for which a request fails."""
+
+    BAD_REQUEST = "bad_request"
+    HEAD_TOO_LARGE = "head_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_PRIORITY = "unknown_priority"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    KEY_REQUIRED = "key_required"
+    KEY_INVALID = "key_invalid"
+    KEY_CONFLICT = "key_conflict"
+    KEY_UNCERTAIN = "key_uncertain"
+    ANSWER_EVICTED = "answer_evicted"
+    NOT_READY = "not_ready"
+    DRAINING = "draining"
+    TOO_MANY_REQUESTS = "too_many_requests"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_UPSTREAM = "no_upstream"
+    OWNER_UNAVAILABLE = "owner_unavailable"
+    LEASE_EXPIRED = "lease_expired"
+    STALE_INCARNATION = "stale_incarnation"
+    QUARANTINED = "quarantined"
+    UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_PROTOCOL = "upstream_protocol"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold what a caller is told about one error kind."""
+
+    status: HTTPStatus
+    outcome: Outcome
+    title: str
+    retry_after_s: int | None = None
+
+
+def _answer(
+    status: HTTPStatus, outcome: Outcome, title: str, retry_after_s: int | None = None
+) -> Answer:
+    return Answer(status, outcome, title, retry_after_s)
+
+
+_NOT_RUN = Outcome.NOT_RUN
+_UNKNOWN = Outcome.UNKNOWN
+
+ANSWERS: Mapping[ErrorKind, Answer] = MappingProxyType(
+    {
+        ErrorKind.BAD_REQUEST: _answer(
+            HTTPStatus.BAD_REQUEST, _NOT_RUN, "the request is malformed"
+        ),
+        ErrorKind.HEAD_TOO_LARGE: _answer(
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            _NOT_RUN,
+            "the request head is too large",
+        ),
+        ErrorKind.BODY_TOO_LARGE: _answer(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            _NOT_RUN,
+            "the request body is too large",
+        ),
+        ErrorKind.REQUEST_TIMEOUT: _answer(
+            HTTPStatus.REQUEST_TIMEOUT, _NOT_RUN, "the request arrived too slowly"
+        ),
+        ErrorKind.UNAUTHENTICATED: _answer(
+            HTTPStatus.UNAUTHORIZED, _NOT_RUN, "the bearer key is missing or unknown"
+        ),
+        ErrorKind.UNKNOWN_PRIORITY: _answer(
+            HTTPStatus.BAD_REQUEST, _NOT_RUN, "the priority is not configured"
+        ),
+        ErrorKind.NOT_FOUND: _answer(
+            HTTPStatus.NOT_FOUND, _NOT_RUN, "no such resource"
+        ),
+        ErrorKind.METHOD_NOT_ALLOWED: _answer(
+            HTTPStatus.METHOD_NOT_ALLOWED, _NOT_RUN, "the method is not allowed here"
+        ),
+        ErrorKind.KEY_REQUIRED: _answer(
+            HTTPStatus.BAD_REQUEST, _NOT_RUN, "this call needs an Idempotency-Key"
+        ),
+        ErrorKind.KEY_INVALID: _answer(
+            HTTPStatus.BAD_REQUEST, _NOT_RUN, "the Idempotency-Key is not acceptable"
+        ),
+        ErrorKind.KEY_CONFLICT: _answer(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            _NOT_RUN,
+            "the Idempotency-Key was used for another request",
+        ),
+        ErrorKind.KEY_UNCERTAIN: _answer(
+            HTTPStatus.CONFLICT,
+            _UNKNOWN,
+            "an earlier process may have run this call; it is not run again",
+        ),
+        ErrorKind.ANSWER_EVICTED: _answer(
+            HTTPStatus.GONE, Outcome.RAN, "the call ran; its answer is not kept"
+        ),
+        ErrorKind.NOT_READY: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE, _NOT_RUN, "no configuration in force yet", 1
+        ),
+        ErrorKind.DRAINING: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE, _NOT_RUN, "this process is stopping", 1
+        ),
+        ErrorKind.TOO_MANY_REQUESTS: _answer(
+            HTTPStatus.TOO_MANY_REQUESTS, _NOT_RUN, "the team is over its limit", 1
+        ),
+        ErrorKind.OVERLOADED: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE, _NOT_RUN, "the upstreams are overloaded", 2
+        ),
+        ErrorKind.DEADLINE_UNREACHABLE: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            "the request cannot finish before its deadline",
+            1,
+        ),
+        ErrorKind.DEADLINE_EXCEEDED: _answer(
+            HTTPStatus.GATEWAY_TIMEOUT, _UNKNOWN, "the deadline passed"
+        ),
+        ErrorKind.NO_UPSTREAM: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE, _NOT_RUN, "no upstream is available", 1
+        ),
+        ErrorKind.OWNER_UNAVAILABLE: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            "the owner of this Idempotency-Key is not reachable",
+            1,
+        ),
+        ErrorKind.LEASE_EXPIRED: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            "the agent does not hold the lease of its address",
+            1,
+        ),
+        ErrorKind.STALE_INCARNATION: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            "the request names another incarnation of the agent",
+            1,
+        ),
+        ErrorKind.QUARANTINED: _answer(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            _NOT_RUN,
+            "this request crashed several upstreams and is refused for a time",
+            600,
+        ),
+        ErrorKind.UPSTREAM_LOST: _answer(
+            HTTPStatus.BAD_GATEWAY, _UNKNOWN, "the upstream was lost during the call"
+        ),
+        ErrorKind.UPSTREAM_PROTOCOL: _answer(
+            HTTPStatus.BAD_GATEWAY, _UNKNOWN, "the upstream sent a malformed answer"
+        ),
+        ErrorKind.CANCELLED: _answer(
+            HTTPStatus.BAD_GATEWAY, _UNKNOWN, "the call was cancelled"
+        ),
+        ErrorKind.INTERNAL: _answer(
+            HTTPStatus.INTERNAL_SERVER_ERROR, _UNKNOWN, "internal error"
+        ),
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestError:
+    """Describe one failed request with its kind and a detail for the caller."""
+
+    kind: ErrorKind
+    detail: str = ""
+
+    @property
+    def answer(self) -> Answer:
+        """Return the row of the table for this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return what the caller may assume about the execution."""
+        return self.answer.outcome
--- /dev/null
+++ b/packages/core/src/sardineyard/core/states.py
@@ -0,0 +1,30 @@
+"""States that several libraries share."""
+
+from enum import Enum, unique
+
+
+@unique
+class ProcessState(Enum):
+    """Say whether a process takes new work."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+@unique
+class UpstreamState(Enum):
+    """Say what an entry believes about an upstream."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@unique
+class FinishReason(Enum):
+    """Say why a generation ended."""
+
+    STOP = "stop"
+    LENGTH = "length"
--- /dev/null
+++ b/packages/document/src/sardineyard/document/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document: structures, validation, order and differences."""
--- /dev/null
+++ b/packages/entry/src/sardineyard/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: callers in, sessions to agents out."""
--- /dev/null
+++ b/packages/experts/src/sardineyard/experts/__init__.py
@@ -0,0 +1,1 @@
+"""Placement, rebalancing and commitment of expert maps."""
--- /dev/null
+++ b/packages/idempotency/src/sardineyard/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership, table and lease of idempotency keys."""
--- /dev/null
+++ b/packages/membership/src/sardineyard/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and the set of known upstreams."""
--- /dev/null
+++ b/packages/routing/src/sardineyard/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of upstream, load estimates, ejection, retry budget and quarantine."""
--- /dev/null
+++ b/packages/runner/src/sardineyard/runner/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols of model runners and plain services."""
--- /dev/null
+++ b/packages/settings/src/sardineyard/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked INI settings of the processes."""
--- /dev/null
+++ b/packages/settings/src/sardineyard/settings/ini.py
@@ -0,0 +1,91 @@
+"""Reading of INI settings into a typed structure, with every error at once."""
+
+from __future__ import annotations
+
+import configparser
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Generic, TypeVar
+
+from returns.result import Failure, Success
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from returns.result import Result
+
+Value = TypeVar("Value")
+
+
+@dataclass(frozen=True, slots=True)
+class SettingError:
+    """Say which option of which section is wrong and what is allowed."""
+
+    section: str
+    option: str
+    problem: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return the error as one line."""
+        return (
+            f"[{self.section}] {self.option}: {self.problem}; allowed: {self.allowed}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Option(Generic[Value]):
+    """Describe one option: how to parse it, what is allowed and its default."""
+
+    section: str
+    name: str
+    parse: Callable[[str], Value]
+    allowed: str
+    # The text used when the option is absent; None makes the option required.
+    default: str | None = None
+    help: str = ""
+
+
+def read(
+    text: str, options: Mapping[str, Option[Any]]
+) -> Result[dict[str, Any], tuple[SettingError, ...]]:
+    """Parse INI text and return the value of every option by field name."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return Failure((SettingError("-", "-", str(error), "INI syntax"),))
+    errors = _unknown_options(parser, options)
+    values: dict[str, Any] = {}
+    for field, option in options.items():
+        raw = parser.get(option.section, option.name, fallback=option.default)
+        if raw is None:
+            errors.append(_error(option, "required option is missing"))
+            continue
+        try:
+            values[field] = option.parse(raw.strip())
+        except ValueError as error:
+            errors.append(_error(option, f"{raw!r} is not valid ({error})"))
+    return Failure(tuple(errors)) if errors else Success(values)
+
+
+def _error(option: Option[Any], problem: str) -> SettingError:
+    return SettingError(option.section, option.name, problem, option.allowed)
+
+
+def _unknown_options(
+    parser: configparser.ConfigParser, options: Mapping[str, Option[Any]]
+) -> list[SettingError]:
+    known: dict[str, list[str]] = {}
+    for option in options.values():
+        known.setdefault(option.section, []).append(option.name)
+    errors = []
+    for section in parser.sections():
+        if section not in known:
+            allowed = ", ".join(sorted(known))
+            errors.append(SettingError(section, "-", "unknown section", allowed))
+            continue
+        for name in parser.options(section):
+            if name not in known[section]:
+                allowed = ", ".join(sorted(known[section]))
+                errors.append(SettingError(section, name, "unknown option", allowed))
+    return errors
--- /dev/null
+++ b/packages/telemetry/src/sardineyard/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""JSON logs, metrics and state dumps."""
--- /dev/null
+++ b/packages/wire/src/sardineyard/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes and their conversion to core types."""
