--- /dev/null
+++ b/packages/experts/src/sardineyard/experts/maps.py
@@ -0,0 +1,74 @@
+"""Expert maps: which rank holds which experts."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from functools import cached_property
+from typing import TYPE_CHECKING, NewType
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sardineyard.core.ids import ExpertIndex
+
+# The fencing number of the change that made the map, so no two maps share one.
+MapVersion = NewType("MapVersion", int)
+Placement = tuple[tuple["ExpertIndex", ...], ...]
+
+
+@dataclass(frozen=True)
+class ExpertMap:
+    """Assign experts to ranks; a rank without experts takes no part in a step."""
+
+    version: MapVersion
+    # Experts of each rank, in order of the rank's index.
+    ranks: Placement
+
+    @cached_property
+    def replicas(self) -> Counter[ExpertIndex]:
+        """Return how many ranks hold each expert."""
+        return Counter(expert for experts in self.ranks for expert in experts)
+
+
+def moved_replicas(old: Placement, new: Placement) -> int:
+    """Return how many replicas have to be loaded to get from one map to another."""
+    moved = 0
+    for index, experts in enumerate(new):
+        before = set(old[index]) if index < len(old) else set()
+        moved += len(set(experts) - before)
+    return moved
+
+
+def rank_loads(ranks: Placement, loads: Sequence[float]) -> list[float]:
+    """Return the load of each rank; replicas of an expert share its load evenly."""
+    replicas = Counter(expert for experts in ranks for expert in experts)
+    return [sum(loads[e] / replicas[e] for e in experts) for experts in ranks]
+
+
+def step_skew(
+    ranks: Placement, loads: Sequence[float], capacities: Sequence[float]
+) -> float:
+    """Return the largest over the mean step time of the ranks that take part.
+
+    The step time of a rank is its load over its capacity; a rank of capacity zero
+    is lost and must hold no expert.
+    """
+    times = [
+        load / capacity
+        for load, capacity in zip(rank_loads(ranks, loads), capacities, strict=True)
+        if capacity > 0
+    ]
+    total = sum(times)
+    return max(times) * len(times) / total if total > 0 else 1.0
+
+
+def slowest_time(
+    ranks: Placement, loads: Sequence[float], capacities: Sequence[float]
+) -> float:
+    """Return the largest load over capacity, which sets the time of a step."""
+    return max(
+        load / capacity
+        for load, capacity in zip(rank_loads(ranks, loads), capacities, strict=True)
+        if capacity > 0
+    )
--- /dev/null
+++ b/packages/experts/tests/test_placement.py
@@ -0,0 +1,120 @@
+"""Tests of placement, rebalancing decisions and stragglers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from sardineyard.core.ids import Incarnation, UpstreamId
+from sardineyard.experts.load import LoadTracker
+from sardineyard.experts.maps import moved_replicas, rank_loads, step_skew
+from sardineyard.experts.placement import (
+    PlacementProblem,
+    UnableToServeError,
+    place,
+)
+from sardineyard.experts.rebalance import Rebalancer, RebalanceRules, Verdict
+from sardineyard.experts.stragglers import StragglerDetector
+
+
+@pytest.fixture
+def problem() -> PlacementProblem:
+    """Return 64 experts with Zipf loads for 16 ranks of 8 slots."""
+    loads = [1.0 / (index + 1) for index in range(64)]
+    Random(7).shuffle(loads)
+    return PlacementProblem(tuple(loads), (1.0,) * 16, 8)
+
+
+@pytest.fixture
+def drifted(problem) -> PlacementProblem:
+    """Return the problem after eight pairs of experts exchanged their loads."""
+    loads = list(problem.loads)
+    rng = Random(8)
+    for _ in range(8):
+        first, second = rng.sample(range(64), 2)
+        loads[first], loads[second] = loads[second], loads[first]
+    return replace(problem, loads=tuple(loads))
+
+
+def test_replicas_that_need_not_move_stay(problem, drifted) -> None:
+    """Guards against rebalancing that loads most of the experts again."""
+    before = place(problem, None, 1.03)
+    after = place(drifted, before, 1.03)
+    assert step_skew(before, problem.loads, problem.capacities) < 1.05
+    assert step_skew(before, drifted.loads, problem.capacities) > 1.5
+    assert step_skew(after, drifted.loads, problem.capacities) < 1.05
+    anew = place(drifted, None, 1.03)
+    assert 2 * moved_replicas(before, after) <= moved_replicas(before, anew)
+
+
+def test_a_lost_rank_gets_no_expert_and_too_few_ranks_are_reported(problem) -> None:
+    """Guards against a map with experts on lost ranks or without some expert."""
+    before = place(problem, None, 1.03)
+    lost = replace(problem, capacities=(0.0,) * 3 + (1.0,) * 13)
+    after = place(lost, before, 1.03)
+    assert after[:3] == ((), (), ())
+    assert {expert for experts in after for expert in experts} == set(range(64))
+    assert all(len(set(experts)) == len(experts) <= 8 for experts in after)
+    with pytest.raises(UnableToServeError, match="56 slots of 7 live ranks"):
+        place(replace(problem, capacities=(1.0,) * 7 + (0.0,) * 9), after, 1.03)
+
+
+def test_a_move_is_made_only_within_the_budget_and_when_it_pays(
+    clock, problem, drifted
+) -> None:
+    """Guards against moves that cost more step time than they save."""
+    rules = RebalanceRules(expert_bytes=100, bytes_per_s=100.0, burst_s=4.0)
+    before = place(problem, None, 1.03)
+    rebalancer = Rebalancer(clock, rules)
+    assert rebalancer.decide(problem, before).verdict is Verdict.BALANCED
+    part = rebalancer.decide(drifted, before)
+    assert part.verdict is Verdict.REBALANCE
+    assert 0 < part.moved_bytes <= 400
+    rebalancer.committed(part)
+    again = rebalancer.decide(drifted, part.placement)
+    assert again.verdict is Verdict.OVER_BUDGET
+    clock.advance(4.0)
+    assert rebalancer.decide(drifted, part.placement).verdict is Verdict.REBALANCE
+    dear = Rebalancer(clock, replace(rules, switch_pause_s=60.0))
+    assert dear.decide(drifted, before).verdict is Verdict.NOT_PAID
+
+
+def test_a_straggler_is_named_and_gets_less_load_for_as_long_as_it_is_slow(
+    problem,
+) -> None:
+    """Guards against a straggler that gets its load back as soon as it is relieved."""
+    detector = StragglerDetector(16)
+    ranks = place(problem, None, 1.03)
+
+    def observe(slow: float, times: int = 5) -> None:
+        tokens = rank_loads(ranks, problem.loads)
+        for _ in range(times):
+            detector.observe([tokens[0] * slow, *tokens[1:]], tokens)
+
+    observe(2.0, times=4)
+    assert not detector.stragglers, "named before the window is full"
+    observe(2.0, times=1)
+    assert detector.stragglers == {0}
+    slowed = replace(problem, capacities=detector.capacities())
+    ranks = place(slowed, ranks, 1.03)
+    loads = rank_loads(ranks, problem.loads)
+    assert loads[0] < 0.6 * sum(loads[1:]) / 15
+    observe(2.0)
+    assert detector.stragglers == {0}, "lost its name when it was relieved"
+    observe(1.0)
+    assert not detector.stragglers
+
+
+def test_lost_and_repeated_reports_do_not_change_the_load(clock) -> None:
+    """Guards against load counted twice, or counters of a restart taken as load."""
+    tracker = LoadTracker(clock, experts=2, half_life_s=10.0)
+    runner = UpstreamId("runner-0")
+    for counters in ((5.0, 5.0), (7.0, 5.0), (7.0, 5.0)):
+        tracker.observe(runner, Incarnation(1), counters)
+    assert tracker.loads == (2.0, 0.0)
+    tracker.observe(runner, Incarnation(2), (1.0, 9.0))
+    clock.advance(10.0)
+    tracker.observe(runner, Incarnation(2), (1.0, 10.0))
+    assert tracker.loads == (1.0, 1.0)
