Add the session messages, HTTP tasks, runner protocols and stand-ins

Cause: the daemons need a transport on both sides and something to serve. Change: conversion between core types and protobuf frames, an h11 server and client whose connections belong to one task each, the protocols of model runners and plain services behind one singledispatch function, and stand-ins of a model runner, a booking service and the platform.

--- /dev/null
+++ b/packages/httpio/src/sardineyard/httpio/client.py
@@ -0,0 +1,148 @@
+"""HTTP/1.1 client: each connection is used by one task at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import h11
+
+from sardineyard.httpio.messages import HttpResponse
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from types import TracebackType
+
+    from sardineyard.core.address import Address
+    from sardineyard.httpio.messages import HttpRequest
+
+_READ_BYTES = 65_536
+_CONNECT_TIMEOUT_S = 1.0
+
+
+class ResponseError(Exception):
+    """Report a response that breaks the protocol or ends early."""
+
+
+class ClientConnection:
+    """Own one socket to a server and run one exchange at a time on it."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._host = host
+        self._http = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def open(cls, address: Address) -> ClientConnection:
+        """Connect to an address; raise OSError or TimeoutError."""
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+        return cls(reader, writer, str(address))
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the last exchange ended whole on both sides."""
+        return (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._writer.is_closing()
+            and not self._reader.at_eof()
+        )
+
+    async def __aenter__(self) -> ClientConnection:
+        """Return the connection."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the connection."""
+        self.close()
+
+    def start_next_exchange(self) -> None:
+        """Make a reusable connection ready for its next exchange."""
+        self._http.start_next_cycle()
+
+    async def send(self, request: HttpRequest) -> None:
+        """Send a whole request."""
+        headers = {
+            "host": self._host,
+            **request.headers,
+            "content-length": str(len(request.body)),
+        }
+        data = self._http.send(
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=list(headers.items()),
+            )
+        )
+        self._writer.write((data or b"") + self._encode_body(request.body))
+        await self._writer.drain()
+
+    async def receive_head(self) -> HttpResponse:
+        """Wait for the head of the response; its body is empty here."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                headers = {
+                    name.decode("latin-1"): value.decode("latin-1")
+                    for name, value in event.headers
+                }
+                return HttpResponse(event.status_code, headers, b"")
+            if not isinstance(event, h11.InformationalResponse):
+                raise ResponseError("no response head")
+
+    async def receive_body(self) -> AsyncIterator[bytes]:
+        """Yield the pieces of the body as they arrive."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ResponseError("the body ended early")
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._writer.close()
+
+    def _encode_body(self, body: bytes) -> bytes:
+        data = self._http.send(h11.Data(data=body)) or b"" if body else b""
+        return data + (self._http.send(h11.EndOfMessage()) or b"")
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ResponseError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._reader.read(_READ_BYTES))
+
+
+async def fetch(
+    address: Address, request: HttpRequest, timeout_s: float, max_bytes: int = 2**24
+) -> HttpResponse:
+    """Run one exchange on a new connection and return the whole response.
+
+    Raise OSError, TimeoutError or ResponseError.
+    """
+    async with asyncio.timeout(timeout_s):
+        async with await ClientConnection.open(address) as connection:
+            await connection.send(request)
+            head = await connection.receive_head()
+            body = bytearray()
+            async for piece in connection.receive_body():
+                body += piece
+                if len(body) > max_bytes:
+                    raise ResponseError(f"the body has more than {max_bytes} bytes")
+            return HttpResponse(head.status, head.headers, bytes(body))
--- /dev/null
+++ b/packages/runner/src/sardineyard/runner/service.py
@@ -0,0 +1,58 @@
+"""Protocol of plain services: one HTTP exchange for each call."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineyard.core.requests import ServiceAnswer
+from sardineyard.httpio.client import ResponseError
+from sardineyard.httpio.messages import HttpRequest
+from sardineyard.runner.kinds import (
+    NotSentError,
+    PlainService,
+    RunnerError,
+    execute,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from sardineyard.core.requests import CallEvent, ServiceCall
+
+_MAX_ANSWER_BYTES = 4_194_304
+
+
+@execute.register(PlainService)
+async def execute_call(
+    runner: PlainService, request: ServiceCall
+) -> AsyncIterator[CallEvent]:
+    """Run one call on a plain service."""
+    try:
+        connection = await runner.pool.acquire(fresh=not request.repeatable)
+    except (OSError, TimeoutError) as error:
+        raise NotSentError(f"cannot connect to the service: {error}") from error
+    try:
+        await connection.send(_service_request(request))
+        head = await connection.receive_head()
+        body = bytearray()
+        async for piece in connection.receive_body():
+            body += piece
+            if len(body) > _MAX_ANSWER_BYTES:
+                raise RunnerError("the answer of the service is too large")
+        yield ServiceAnswer(
+            request_id=request.request_id,
+            status=head.status,
+            content_type=head.headers.get("content-type", "application/octet-stream"),
+            body=bytes(body),
+        )
+    except (OSError, TimeoutError, ResponseError) as error:
+        raise RunnerError(f"the connection to the service failed: {error}") from error
+    finally:
+        runner.pool.release(connection)
+
+
+def _service_request(request: ServiceCall) -> HttpRequest:
+    headers = {"content-type": request.content_type, "x-request-id": request.request_id}
+    if request.idempotency_key is not None:
+        headers["idempotency-key"] = request.idempotency_key
+    return HttpRequest(request.method, request.path, headers, request.body)
--- a/packages/settings/src/sardineyard/settings/parsers.py
+++ b/packages/settings/src/sardineyard/settings/parsers.py
@@ -2,38 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from ipaddress import ip_address
-
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Hold an IP address and a port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return the address as host:port."""
-        return f"[{self.host}]:{self.port}" if ":" in self.host else self.hostport
-
-    @property
-    def hostport(self) -> str:
-        """Return the address without brackets."""
-        return f"{self.host}:{self.port}"
-
-
-def address(text: str) -> Address:
-    """Parse host:port, where the host is an IP address."""
-    host, separator, port = text.rpartition(":")
-    if not separator:
-        raise ValueError("no port")
-    host = host.removeprefix("[").removesuffix("]")
-    ip_address(host)
-    number = int(port)
-    if not 0 <= number <= 65535:
-        raise ValueError("the port is not between 0 and 65535")
-    return Address(host, number)
+from typing import TYPE_CHECKING
+
+from sardineyard.core.address import parse_address as address
+
+if TYPE_CHECKING:
+    from sardineyard.core.address import Address
 
 
 def addresses(text: str) -> tuple[Address, ...]:
--- a/packages/settings/src/sardineyard/settings/processes.py
+++ b/packages/settings/src/sardineyard/settings/processes.py
@@ -5,14 +5,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from sardineyard.core.address import parse_address
 from sardineyard.settings import parsers
 from sardineyard.settings.ini import Option, read
 
 if TYPE_CHECKING:
     from returns.result import Result
 
+    from sardineyard.core.address import Address
     from sardineyard.settings.ini import SettingError
-    from sardineyard.settings.parsers import Address
 
 _ADDRESS = "IP address and port, such as 127.0.0.1:8080"
 _ADDRESSES = "IP addresses with ports, separated by commas"
@@ -59,12 +60,12 @@
 _PROCESS_OPTIONS: dict[str, Option[Any]] = {
     "process": Option("process", "id", parsers.identifier, _NAME),
     "failure_domain": Option("process", "failure_domain", parsers.identifier, _NAME),
-    "admin_address": Option("process", "admin_address", parsers.address, _ADDRESS),
-    "peer_address": Option("process", "peer_address", parsers.address, _ADDRESS),
+    "admin_address": Option("process", "admin_address", parse_address, _ADDRESS),
+    "peer_address": Option("process", "peer_address", parse_address, _ADDRESS),
     "advertised_address": Option(
-        "process", "advertised_address", parsers.address, _ADDRESS
+        "process", "advertised_address", parse_address, _ADDRESS
     ),
-    "platform_address": Option("platform", "address", parsers.address, _ADDRESS),
+    "platform_address": Option("platform", "address", parse_address, _ADDRESS),
     "seed_peers": Option("peers", "seeds", parsers.addresses, _ADDRESSES, ""),
     "drain_timeout_s": Option(
         "process", "drain_timeout_s", parsers.seconds, _SECONDS, "30"
@@ -75,12 +76,12 @@
 }
 ENTRY_OPTIONS: dict[str, Option[Any]] = {
     **_PROCESS_OPTIONS,
-    "caller_address": Option("entry", "caller_address", parsers.address, _ADDRESS),
+    "caller_address": Option("entry", "caller_address", parse_address, _ADDRESS),
 }
 AGENT_OPTIONS: dict[str, Option[Any]] = {
     **_PROCESS_OPTIONS,
     "upstream": Option("agent", "upstream", parsers.identifier, _NAME),
-    "upstream_address": Option("agent", "upstream_address", parsers.address, _ADDRESS),
+    "upstream_address": Option("agent", "upstream_address", parse_address, _ADDRESS),
 }
 
 
