Serve requests from end to end through real processes

Cause: the libraries had no daemon that connects them. Change: the agent (scheduler, key owner, session) and the entry (router, links, attempts, assembler, HTTP front) as tasks with mailboxes; a daemon library for start, planned stop and the admin server; a fleet of real processes on loopback for the demonstration and the tests. Found on the way: a protocol of the runner library was registered only when its module was imported, and the error ended a task unseen, so the caller waited for its deadline. Kinds now live in the module that registers them, and an unexpected error in a call reaches its caller as an internal error.

--- /dev/null
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -0,0 +1,119 @@
+"""The agent daemon: its tasks and how they are connected."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from grpclib.server import Server
+
+from sardineyard.agent.key_owner import KeyOwner
+from sardineyard.agent.messages import Drain
+from sardineyard.agent.scheduler import Scheduler
+from sardineyard.agent.service import AgentService
+from sardineyard.configsync.follower import ConfigFollower
+from sardineyard.configsync.peer_service import PeerService
+from sardineyard.core.ids import UpstreamId
+from sardineyard.core.mailbox import Reply
+from sardineyard.core.states import ProcessState, UpstreamKind
+from sardineyard.core.tasks import TaskSet
+from sardineyard.daemon.admin import AdminServer
+from sardineyard.daemon.identity import identify
+from sardineyard.httpio.pool import ConnectionPool
+from sardineyard.runner import ModelRunner, PlainService
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.mailbox import Mailbox
+    from sardineyard.runner import Runner
+    from sardineyard.settings.processes import AgentSettings
+
+
+class AgentDaemon:
+    """Run the tasks of one agent."""
+
+    def __init__(self, settings: AgentSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._identity = identify(settings, clock)
+        self._state = ProcessState.STARTING
+        self._tasks = TaskSet()
+        self._pool = ConnectionPool(settings.upstream_address)
+        upstream = UpstreamId(settings.upstream)
+        incarnation = self._identity.incarnation
+        self._scheduler = Scheduler(upstream, incarnation, self._runner(), clock)
+        self._key_owner = KeyOwner(self._scheduler.mailbox)
+        subscribers: list[Mailbox[Any]] = [self._scheduler.mailbox]
+        self._follower = ConfigFollower(
+            settings.platform_address, Random(), subscribers
+        )
+        self._server = Server(
+            [
+                AgentService(
+                    upstream,
+                    incarnation,
+                    self._scheduler.mailbox,
+                    self._key_owner.mailbox,
+                    clock,
+                ),
+                PeerService(self._identity.process, incarnation, self._follower),
+            ]
+        )
+        self._admin = AdminServer(
+            settings.admin_address, self._is_ready, self._dump, self._metrics
+        )
+
+    async def start(self) -> None:
+        """Start the tasks and listen."""
+        self._tasks.start("scheduler", self._scheduler.run())
+        self._tasks.start("key-owner", self._key_owner.run())
+        self._tasks.start("config-follower", self._follower.run())
+        address = self._settings.peer_address
+        await self._server.start(address.host, address.port)
+        await self._admin.start()
+        self._state = ProcessState.SERVING
+
+    async def drain(self) -> None:
+        """Refuse new work and return when the open work has ended."""
+        self._state = ProcessState.DRAINING
+        reply: Reply[None] = Reply()
+        self._scheduler.mailbox.post(Drain(reply))
+        await reply.wait()
+
+    async def close(self) -> list[str]:
+        """End all tasks and return the ids of the requests that were cut."""
+        cut = [str(request) for request in self._scheduler.open_requests]
+        self._server.close()
+        await self._server.wait_closed()
+        await self._admin.close()
+        await self._tasks.cancel_all()
+        self._pool.close()
+        return cut
+
+    async def wait_failed(self) -> None:
+        """Return when a task has failed."""
+        await self._tasks.wait_failed()
+
+    def _runner(self) -> Runner:
+        if self._settings.upstream_kind is UpstreamKind.MODEL_RUNNER:
+            return ModelRunner(self._pool)
+        return PlainService(self._pool)
+
+    def _is_ready(self) -> bool:
+        return (
+            self._state is ProcessState.SERVING and self._follower.current is not None
+        )
+
+    async def _dump(self) -> object:
+        current = self._follower.current
+        return {
+            "process": self._identity.process,
+            "incarnation": self._identity.incarnation,
+            "state": self._state,
+            "document_version": current.order.version if current else None,
+            "open_requests": self._scheduler.open_requests,
+        }
+
+    def _metrics(self) -> tuple[dict[str, str], bytes]:
+        return {"content-type": "text/plain"}, b""
--- /dev/null
+++ b/packages/agent/src/sardineyard/agent/messages.py
@@ -0,0 +1,69 @@
+"""Messages between the tasks of an agent."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NewType, Protocol
+
+if TYPE_CHECKING:
+    from sardineyard.core.ids import RequestId
+    from sardineyard.core.mailbox import Reply
+    from sardineyard.core.requests import (
+        CallEvent,
+        Generation,
+        LoadReport,
+        ServiceCall,
+    )
+
+SessionId = NewType("SessionId", int)
+
+
+class CallSink(Protocol):
+    """Take the events of one call."""
+
+    def offer(self, message: CallEvent) -> bool:
+        """Take an event and return whether there was room for it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Submit:
+    """Ask the scheduler to run a request and to send its events to a sink."""
+
+    request: Generation | ServiceCall
+    sink: CallSink
+    session: SessionId
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    """Tell the scheduler that a call no longer uses its slot."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRequest:
+    """Ask the scheduler to stop a request."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class SessionClosed:
+    """Tell the scheduler that nobody waits for the calls of a session."""
+
+    session: SessionId
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLoad:
+    """Ask the scheduler for the load of this agent."""
+
+    reply: Reply[LoadReport]
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """Ask the scheduler to refuse new work and to answer when the last call ended."""
+
+    reply: Reply[None]
--- /dev/null
+++ b/packages/agent/src/sardineyard/agent/service.py
@@ -0,0 +1,62 @@
+"""The gRPC service of an agent."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, Any
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from sardineyard.agent.messages import SessionId
+from sardineyard.agent.session import Session
+from sardineyard.wire import session_pb2 as pb
+from sardineyard.wire.session_grpc import AgentBase
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import Incarnation, UpstreamId
+    from sardineyard.core.mailbox import Mailbox
+
+
+class AgentService(AgentBase):
+    """Open a session for each entry."""
+
+    def __init__(
+        self,
+        upstream: UpstreamId,
+        incarnation: Incarnation,
+        scheduler: Mailbox[Any],
+        key_owner: Mailbox[Any],
+        clock: Clock,
+    ) -> None:
+        self._upstream = upstream
+        self._incarnation = incarnation
+        self._scheduler = scheduler
+        self._key_owner = key_owner
+        self._clock = clock
+        self._numbers = itertools.count(1)
+
+    async def Session(self, stream: Stream[pb.EntryFrame, pb.AgentFrame]) -> None:  # noqa: N802
+        """Serve one session."""
+        session = Session(
+            SessionId(next(self._numbers)),
+            stream,
+            self._scheduler,
+            self._key_owner,
+            self._clock,
+        )
+        await session.run(self._upstream, self._incarnation)
+
+    async def Surrender(  # noqa: N802
+        self, stream: Stream[pb.SurrenderRequest, pb.SurrenderReply]
+    ) -> None:
+        """Answer with no knowledge of the key."""
+        await stream.recv_message()
+        await stream.send_message(pb.SurrenderReply())
+
+    async def Order(self, stream: Stream[pb.GroupOrder, pb.GroupReply]) -> None:  # noqa: N802
+        """Refuse orders: this agent takes part in no group."""
+        raise GRPCError(Status.UNIMPLEMENTED, "no group is configured")
--- /dev/null
+++ b/packages/agent/src/sardineyard/agent/session.py
@@ -0,0 +1,118 @@
+"""Agent's side of one session with an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any
+
+from sardineyard.agent.key_owner import KeyedCall
+from sardineyard.agent.messages import (
+    CancelRequest,
+    ReadLoad,
+    SessionClosed,
+    Submit,
+)
+from sardineyard.core.mailbox import Mailbox, Reply
+from sardineyard.core.requests import Generation, ServiceCall
+from sardineyard.wire import session_pb2 as pb
+from sardineyard.wire.agent_frames import to_event
+from sardineyard.wire.control import CancelCall, Hello, Ping, Pong, Welcome
+from sardineyard.wire.entry_frames import from_frame
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    from sardineyard.agent.messages import (
+        SessionId,
+    )
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import Incarnation, UpstreamId
+    from sardineyard.wire.agent_frames import AgentMessage
+
+_logger = logging.getLogger(__name__)
+
+_OUTBOX_CAPACITY = 50_000
+_MAX_EVENTS_PER_FRAME = 512
+# Events that arrive within this time of the last frame travel in one frame. This
+# bounds the frames of a busy session at 250 a second.
+_FLUSH_INTERVAL_S = 0.004
+
+
+class Session:
+    """Receive the frames of one entry and send it the events of its calls."""
+
+    def __init__(
+        self,
+        number: SessionId,
+        stream: Stream[pb.EntryFrame, pb.AgentFrame],
+        scheduler: Mailbox[Any],
+        key_owner: Mailbox[Any],
+        clock: Clock,
+    ) -> None:
+        self._number = number
+        self._stream = stream
+        self._scheduler = scheduler
+        self._key_owner = key_owner
+        self._clock = clock
+        self._outbox: Mailbox[AgentMessage] = Mailbox(_OUTBOX_CAPACITY)
+
+    async def run(self, upstream: UpstreamId, incarnation: Incarnation) -> None:
+        """Serve the session until the entry closes it."""
+        self._outbox.post(Welcome(upstream, incarnation))
+        sender = asyncio.get_running_loop().create_task(self._send())
+        try:
+            async for frame in self._stream:
+                message = from_frame(frame, self._clock)
+                if message is not None:
+                    await self._handle(message)
+        finally:
+            sender.cancel()
+            self._scheduler.post(SessionClosed(self._number))
+
+    @singledispatchmethod
+    async def _handle(self, message: object) -> None:
+        raise TypeError(f"unexpected message {type(message).__name__}")
+
+    @_handle.register(Hello)
+    async def _hello(self, message: Hello) -> None:
+        _logger.info(
+            "session opened", extra={"event": "session_opened", "peer": message.process}
+        )
+
+    @_handle.register(Generation)
+    async def _generation(self, message: Generation) -> None:
+        self._scheduler.post(Submit(message, self._outbox, self._number))
+
+    @_handle.register(ServiceCall)
+    async def _service_call(self, message: ServiceCall) -> None:
+        if message.idempotency_key is None:
+            self._scheduler.post(Submit(message, self._outbox, self._number))
+        else:
+            self._key_owner.post(KeyedCall(message, self._outbox, self._number))
+
+    @_handle.register(CancelCall)
+    async def _cancel(self, message: CancelCall) -> None:
+        self._scheduler.post(CancelRequest(message.request_id))
+
+    @_handle.register(Ping)
+    async def _ping(self, message: Ping) -> None:
+        reply: Reply[Any] = Reply()
+        self._scheduler.post(ReadLoad(reply))
+        self._outbox.offer(Pong(message.sequence, await reply.wait()))
+
+    async def _send(self) -> None:
+        loop = asyncio.get_running_loop()
+        next_flush = 0.0
+        while True:
+            events = [to_event(await self._outbox.receive())]
+            if loop.time() < next_flush:
+                await asyncio.sleep(next_flush - loop.time())
+            while len(events) < _MAX_EVENTS_PER_FRAME:
+                message = self._outbox.take()
+                if message is None:
+                    break
+                events.append(to_event(message))
+            next_flush = loop.time() + _FLUSH_INTERVAL_S
+            await self._stream.send_message(pb.AgentFrame(events=events))
--- /dev/null
+++ b/packages/configsync/src/sardineyard/configsync/dialing.py
@@ -0,0 +1,29 @@
+"""Short calls to other processes over connections of their own."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from sardineyard.wire import peer_pb2 as pb
+from sardineyard.wire.peer_grpc import PeerStub
+
+if TYPE_CHECKING:
+    from sardineyard.core.address import Address
+
+_TIMEOUT_S = 0.5
+
+
+async def identify(address: Address) -> pb.IdentifyReply | None:
+    """Ask over a new connection which incarnation answers at an address."""
+    channel = Channel(address.host, address.port)
+    try:
+        async with asyncio.timeout(_TIMEOUT_S):
+            return await PeerStub(channel).Identify(pb.IdentifyRequest())
+    except (OSError, TimeoutError, GRPCError, StreamTerminatedError):
+        return None
+    finally:
+        channel.close()
--- a/packages/core/src/sardineyard/core/states.py
+++ b/packages/core/src/sardineyard/core/states.py
@@ -28,3 +28,11 @@
 
     STOP = "stop"
     LENGTH = "length"
+
+
+@unique
+class UpstreamKind(Enum):
+    """Name the protocol that an upstream speaks."""
+
+    MODEL_RUNNER = "model_runner"
+    PLAIN_SERVICE = "plain_service"
--- /dev/null
+++ b/packages/daemon/src/sardineyard/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Lifecycle and admin server that all daemons share."""
--- /dev/null
+++ b/packages/daemon/src/sardineyard/daemon/identity.py
@@ -0,0 +1,33 @@
+"""Identity of one process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sardineyard.core.ids import FailureDomain, Incarnation, ProcessId
+
+if TYPE_CHECKING:
+    from sardineyard.core.address import Address
+    from sardineyard.core.clock import Clock
+    from sardineyard.settings.processes import ProcessSettings
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Name one incarnation of a process."""
+
+    process: ProcessId
+    incarnation: Incarnation
+    failure_domain: FailureDomain
+    advertised_address: Address
+
+
+def identify(settings: ProcessSettings, clock: Clock) -> Identity:
+    """Return the identity of a process that starts now."""
+    return Identity(
+        process=ProcessId(settings.process),
+        incarnation=Incarnation(int(clock.wall() * 1_000_000)),
+        failure_domain=FailureDomain(settings.failure_domain),
+        advertised_address=settings.advertised_address,
+    )
--- a/packages/document/src/sardineyard/document/model.py
+++ b/packages/document/src/sardineyard/document/model.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from enum import Enum, unique
 from typing import NewType
 
 import msgspec
@@ -16,19 +15,12 @@
     TeamId,
     UpstreamId,
 )
+from sardineyard.core.states import UpstreamKind
 
 DocumentVersion = NewType("DocumentVersion", int)
 DocumentDigest = NewType("DocumentDigest", str)
 
 
-@unique
-class UpstreamKind(Enum):
-    """Name the protocol that an upstream speaks."""
-
-    MODEL_RUNNER = "model_runner"
-    PLAIN_SERVICE = "plain_service"
-
-
 class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Refuse fields that the document does not know."""
 
--- /dev/null
+++ b/packages/entry/src/sardineyard/entry/front.py
@@ -0,0 +1,135 @@
+"""The HTTP interface for callers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+import msgspec
+from returns.result import Failure, Success
+
+from sardineyard.core.errors import ErrorKind, RequestError
+from sardineyard.core.ids import RequestId
+from sardineyard.daemon.admin import respond
+from sardineyard.entry.admission import admit
+from sardineyard.entry.openai import ChatBody, TextBody
+from sardineyard.entry.problems import send_problem
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.entry.completions import CompletionFront
+    from sardineyard.entry.directory import Directory
+    from sardineyard.entry.openai import Completion
+    from sardineyard.entry.services import ServiceFront
+    from sardineyard.httpio.exchange import Exchange
+    from sardineyard.httpio.messages import HttpRequest
+
+_logger = logging.getLogger(__name__)
+
+_COMPLETIONS: dict[str, type[Completion]] = {
+    "/v1/chat/completions": ChatBody,
+    "/v1/completions": TextBody,
+}
+_SERVICES = "/services/"
+
+
+class CallerFront:
+    """Answer every request of callers."""
+
+    def __init__(
+        self,
+        directory: Callable[[], Directory | None],
+        is_draining: Callable[[], bool],
+        completions: CompletionFront,
+        services: ServiceFront,
+        metrics: Callable[[], tuple[dict[str, str], bytes]],
+        clock: Clock,
+    ) -> None:
+        self._directory = directory
+        self._is_draining = is_draining
+        self._completions = completions
+        self._services = services
+        self._metrics = metrics
+        self._clock = clock
+        self._open: set[RequestId] = set()
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def open_requests(self) -> list[RequestId]:
+        """Return the ids of the requests in progress."""
+        return sorted(self._open)
+
+    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Answer one request."""
+        if await respond(request, exchange, self._is_ready, None, self._metrics):
+            return
+        request_id = RequestId(uuid4().hex)
+        self._open.add(request_id)
+        self._idle.clear()
+        try:
+            error = await self._dispatch(request, exchange, request_id)
+            if error is not None:
+                _logger.info(
+                    "request refused",
+                    extra={
+                        "event": "request_refused",
+                        "request_id": request_id,
+                        "error_kind": error.kind.value,
+                    },
+                )
+                await send_problem(exchange, error, request_id)
+        finally:
+            self._open.discard(request_id)
+            if not self._open:
+                self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Return when no request is in progress."""
+        await self._idle.wait()
+
+    async def refuse(self, kind: ErrorKind, detail: str, exchange: Exchange) -> None:
+        """Answer a request that could not be read."""
+        await send_problem(exchange, RequestError(kind, detail))
+
+    def _is_ready(self) -> bool:
+        return self._directory() is not None and not self._is_draining()
+
+    async def _dispatch(
+        self, request: HttpRequest, exchange: Exchange, request_id: RequestId
+    ) -> RequestError | None:
+        directory = self._directory()
+        if self._is_draining():
+            return RequestError(ErrorKind.DRAINING)
+        if directory is None:
+            return RequestError(ErrorKind.NOT_READY)
+        match admit(request, directory, self._clock):
+            case Success(admitted):
+                pass
+            case Failure(error):
+                return error
+        path = request.path
+        if path in _COMPLETIONS:
+            if request.method != "POST":
+                return RequestError(ErrorKind.METHOD_NOT_ALLOWED, "use POST")
+            return await self._completions.handle(
+                request, exchange, request_id, admitted, _COMPLETIONS[path]
+            )
+        if path.startswith(_SERVICES):
+            return await self._services.handle(
+                request, exchange, request_id, admitted, directory
+            )
+        if path == "/v1/models" and request.method == "GET":
+            await _send_models(exchange, directory)
+            return None
+        return RequestError(ErrorKind.NOT_FOUND, path)
+
+
+async def _send_models(exchange: Exchange, directory: Directory) -> None:
+    models = [{"id": model, "object": "model"} for model in directory.models]
+    body = msgspec.json.encode({"object": "list", "data": models})
+    await exchange.send(200, {"content-type": "application/json"}, body)
--- /dev/null
+++ b/packages/entry/src/sardineyard/entry/problems.py
@@ -0,0 +1,47 @@
+"""Rendering of errors as problem documents (RFC 9457)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from sardineyard.core.errors import RequestError
+    from sardineyard.core.ids import RequestId
+    from sardineyard.httpio.exchange import Exchange
+
+
+class Problem(msgspec.Struct, omit_defaults=True):
+    """Encode one error for a caller."""
+
+    title: str
+    status: int
+    kind: str
+    outcome: str
+    request_id: str = ""
+    detail: str = ""
+
+
+def problem(error: RequestError, request_id: RequestId | None = None) -> Problem:
+    """Return the problem document of an error."""
+    answer = error.answer
+    return Problem(
+        title=answer.title,
+        status=answer.status.value,
+        kind=error.kind.value,
+        outcome=answer.outcome.value,
+        request_id=request_id or "",
+        detail=error.detail,
+    )
+
+
+async def send_problem(
+    exchange: Exchange, error: RequestError, request_id: RequestId | None = None
+) -> None:
+    """Send an error as a whole response."""
+    headers = {"content-type": "application/problem+json"}
+    if error.answer.retry_after_s is not None:
+        headers["retry-after"] = str(error.answer.retry_after_s)
+    body = msgspec.json.encode(problem(error, request_id))
+    await exchange.send(error.answer.status.value, headers, body)
--- /dev/null
+++ b/packages/entry/src/sardineyard/entry/session.py
@@ -0,0 +1,84 @@
+"""Entry's side of one session with an agent: it owns the connection."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from sardineyard.core.mailbox import Mailbox
+from sardineyard.entry.messages import (
+    FrameReceived,
+    SessionLost,
+    SessionOpened,
+)
+from sardineyard.wire.entry_frames import to_frame
+from sardineyard.wire.session_grpc import AgentStub
+
+if TYPE_CHECKING:
+    from grpclib.client import Stream
+
+    from sardineyard.core.address import Address
+    from sardineyard.core.clock import Clock
+    from sardineyard.entry.messages import (
+        SessionNumber,
+    )
+    from sardineyard.wire import session_pb2 as pb
+    from sardineyard.wire.control import Hello
+    from sardineyard.wire.entry_frames import EntryMessage
+
+_OPEN_TIMEOUT_S = 1.0
+_SEND_TIMEOUT_S = 2.0
+
+_FAILURES = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
+
+
+class Session:
+    """Own one connection to an agent and pass messages both ways."""
+
+    def __init__(
+        self, number: SessionNumber, address: Address, link: Mailbox[Any], clock: Clock
+    ) -> None:
+        self.outbox: Mailbox[EntryMessage] = Mailbox()
+        self._number = number
+        self._address = address
+        self._link = link
+        self._clock = clock
+
+    async def run(self, hello: Hello) -> None:
+        """Open the session, serve it and report its end to the link."""
+        channel = Channel(self._address.host, self._address.port)
+        reason = "closed by the agent"
+        try:
+            async with AgentStub(channel).Session.open() as stream:
+                async with asyncio.timeout(_OPEN_TIMEOUT_S):
+                    await stream.send_message(to_frame(hello, self._clock))
+                await self._serve(stream)
+        except _FAILURES as error:
+            reason = f"{type(error).__name__}: {error}"
+        except BaseExceptionGroup as group:
+            reason = str(group.exceptions[0])
+            if group.split(_FAILURES)[1] is not None:
+                raise
+        finally:
+            channel.close()
+            self._link.post(SessionLost(self._number, reason))
+
+    async def _serve(self, stream: Stream[pb.EntryFrame, pb.AgentFrame]) -> None:
+        async with asyncio.TaskGroup() as group:
+            sender = group.create_task(self._send(stream))
+            first = True
+            async for frame in stream:
+                if first:
+                    self._link.post(SessionOpened(self._number))
+                    first = False
+                self._link.post(FrameReceived(self._number, frame))
+            sender.cancel()
+
+    async def _send(self, stream: Stream[pb.EntryFrame, pb.AgentFrame]) -> None:
+        while True:
+            message = await self.outbox.receive()
+            async with asyncio.timeout(_SEND_TIMEOUT_S):
+                await stream.send_message(to_frame(message, self._clock))
--- a/packages/runner/src/sardineyard/runner/kinds.py
+++ b/packages/runner/src/sardineyard/runner/kinds.py
@@ -1,33 +1,17 @@
-"""Kinds of upstreams and the one function that runs a request on any of them."""
+"""The one function that runs a request on any kind of upstream, and its errors.
+
+A kind is a dataclass in a module of its own, which registers its protocol here.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from sardineyard.core.requests import CallEvent
-    from sardineyard.httpio.pool import ConnectionPool
-
-
-@dataclass(frozen=True, slots=True)
-class ModelRunner:
-    """Reach a model engine through its connections."""
-
-    pool: ConnectionPool
-
-
-@dataclass(frozen=True, slots=True)
-class PlainService:
-    """Reach a plain HTTP service through its connections."""
-
-    pool: ConnectionPool
-
-
-Runner = ModelRunner | PlainService
 
 
 class NotSentError(Exception):
@@ -43,7 +27,7 @@
 
 
 @singledispatch
-def execute(runner: object, request: Any) -> AsyncIterator[CallEvent]:
+def execute(runner: object, request: Any) -> AsyncGenerator[CallEvent, None]:
     """Run a request and yield its events.
 
     Raise NotSentError while nothing was sent, RunnerError afterwards.
--- a/packages/runner/src/sardineyard/runner/model.py
+++ b/packages/runner/src/sardineyard/runner/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -12,17 +13,17 @@
 from sardineyard.httpio.messages import HttpRequest
 from sardineyard.runner.kinds import (
     MalformedAnswerError,
-    ModelRunner,
     NotSentError,
     RunnerError,
     execute,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator, AsyncIterator
 
     from sardineyard.core.requests import CallEvent, Generation
     from sardineyard.httpio.client import ClientConnection
+    from sardineyard.httpio.pool import ConnectionPool
 
 _MAX_LINE_BYTES = 1_048_576
 
@@ -52,10 +53,17 @@
 _decoder = msgspec.json.Decoder(CompletionEvent)
 
 
+@dataclass(frozen=True, slots=True)
+class ModelRunner:
+    """Reach a model engine through its connections."""
+
+    pool: ConnectionPool
+
+
 @execute.register(ModelRunner)
 async def execute_generation(
     runner: ModelRunner, request: Generation
-) -> AsyncIterator[CallEvent]:
+) -> AsyncGenerator[CallEvent, None]:
     """Run a generation on a model runner."""
     try:
         connection = await runner.pool.acquire()
--- a/packages/runner/src/sardineyard/runner/service.py
+++ b/packages/runner/src/sardineyard/runner/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from sardineyard.core.requests import ServiceAnswer
@@ -9,23 +10,30 @@
 from sardineyard.httpio.messages import HttpRequest
 from sardineyard.runner.kinds import (
     NotSentError,
-    PlainService,
     RunnerError,
     execute,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from sardineyard.core.requests import CallEvent, ServiceCall
+    from sardineyard.httpio.pool import ConnectionPool
 
 _MAX_ANSWER_BYTES = 4_194_304
 
 
+@dataclass(frozen=True, slots=True)
+class PlainService:
+    """Reach a plain HTTP service through its connections."""
+
+    pool: ConnectionPool
+
+
 @execute.register(PlainService)
 async def execute_call(
     runner: PlainService, request: ServiceCall
-) -> AsyncIterator[CallEvent]:
+) -> AsyncGenerator[CallEvent, None]:
     """Run one call on a plain service."""
     try:
         connection = await runner.pool.acquire(fresh=not request.repeatable)
--- a/packages/settings/src/sardineyard/settings/processes.py
+++ b/packages/settings/src/sardineyard/settings/processes.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sardineyard.core.address import parse_address
+from sardineyard.core.states import UpstreamKind
 from sardineyard.settings import parsers
 from sardineyard.settings.ini import Option, read
 
@@ -18,6 +19,7 @@
 _ADDRESS = "IP address and port, such as 127.0.0.1:8080"
 _ADDRESSES = "IP addresses with ports, separated by commas"
 _SECONDS = "a positive number of seconds"
+_KINDS = "model_runner, plain_service"
 _NAME = "letters, digits, dots, dashes and underscores"
 
 
@@ -48,6 +50,7 @@
     """Hold the settings of an agent."""
 
     upstream: str
+    upstream_kind: UpstreamKind
     upstream_address: Address
 
 
@@ -81,6 +84,7 @@
 AGENT_OPTIONS: dict[str, Option[Any]] = {
     **_PROCESS_OPTIONS,
     "upstream": Option("agent", "upstream", parsers.identifier, _NAME),
+    "upstream_kind": Option("agent", "upstream_kind", UpstreamKind, _KINDS),
     "upstream_address": Option("agent", "upstream_address", parse_address, _ADDRESS),
 }
 
