Send the last answers before an agent stops

Cause: an agent exited as soon as its last call had ended, while the event of that call could still wait in the outbox of the session; the caller of a keyed call then got 502 with an unknown outcome during a planned stop. Ruled out: a fixed pause before the exit, which is too short or too long. Change: the drain asks each session to answer when everything before was sent.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -48,15 +48,16 @@
         self._follower = ConfigFollower(
             settings.platform_address, Random(), subscribers
         )
+        self._service = AgentService(
+            upstream,
+            incarnation,
+            self._scheduler.mailbox,
+            self._key_owner.mailbox,
+            clock,
+        )
         self._server = Server(
             [
-                AgentService(
-                    upstream,
-                    incarnation,
-                    self._scheduler.mailbox,
-                    self._key_owner.mailbox,
-                    clock,
-                ),
+                self._service,
                 PeerService(self._identity.process, incarnation, self._follower),
             ]
         )
@@ -80,6 +81,8 @@
         reply: Reply[None] = Reply()
         self._scheduler.mailbox.post(Drain(reply))
         await reply.wait()
+        # The last events of the calls may still wait in the sessions.
+        await self._service.flush()
 
     async def close(self) -> list[str]:
         """End all tasks and return the ids of the requests that were cut."""
--- a/packages/agent/src/sardineyard/agent/service.py
+++ b/packages/agent/src/sardineyard/agent/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 from typing import TYPE_CHECKING, Any
 
@@ -38,6 +39,11 @@
         self._key_owner = key_owner
         self._clock = clock
         self._numbers = itertools.count(1)
+        self._sessions: set[Session] = set()
+
+    async def flush(self) -> None:
+        """Return when every session has sent its events."""
+        await asyncio.gather(*(session.flush() for session in self._sessions))
 
     async def Session(self, stream: Stream[pb.EntryFrame, pb.AgentFrame]) -> None:  # noqa: N802
         """Serve one session."""
@@ -48,7 +54,11 @@
             self._key_owner,
             self._clock,
         )
-        await session.run(self._upstream, self._incarnation)
+        self._sessions.add(session)
+        try:
+            await session.run(self._upstream, self._incarnation)
+        finally:
+            self._sessions.discard(session)
 
     async def Surrender(  # noqa: N802
         self, stream: Stream[pb.SurrenderRequest, pb.SurrenderReply]
--- a/packages/agent/src/sardineyard/agent/session.py
+++ b/packages/agent/src/sardineyard/agent/session.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
@@ -29,7 +30,6 @@
     )
     from sardineyard.core.clock import Clock
     from sardineyard.core.ids import Incarnation, UpstreamId
-    from sardineyard.wire.agent_frames import AgentMessage
 
 _logger = logging.getLogger(__name__)
 
@@ -40,6 +40,13 @@
 _FLUSH_INTERVAL_S = 0.004
 
 
+@dataclass(frozen=True, slots=True)
+class _Flush:
+    """Ask the sender to answer when all earlier events were sent."""
+
+    reply: Reply[None]
+
+
 class Session:
     """Receive the frames of one entry and send it the events of its calls."""
 
@@ -56,7 +63,9 @@
         self._scheduler = scheduler
         self._key_owner = key_owner
         self._clock = clock
-        self._outbox: Mailbox[AgentMessage] = Mailbox(_OUTBOX_CAPACITY)
+        self._outbox: Mailbox[Any] = Mailbox(_OUTBOX_CAPACITY)
+        self._flushing: list[_Flush] = []
+        self._is_ended = False
 
     async def run(self, upstream: UpstreamId, incarnation: Incarnation) -> None:
         """Serve the session until the entry closes it."""
@@ -69,8 +78,15 @@
                     await self._handle(message)
         finally:
             sender.cancel()
+            self._end()
             self._scheduler.post(SessionClosed(self._number))
 
+    async def flush(self) -> None:
+        """Return when the events so far were sent or the session has ended."""
+        reply: Reply[None] = Reply()
+        if not self._is_ended and self._outbox.offer(_Flush(reply)):
+            await reply.wait()
+
     @singledispatchmethod
     async def _handle(self, message: object) -> None:
         raise TypeError(f"unexpected message {type(message).__name__}")
@@ -106,13 +122,36 @@
         loop = asyncio.get_running_loop()
         next_flush = 0.0
         while True:
-            events = [to_event(await self._outbox.receive())]
+            messages = [await self._outbox.receive()]
             if loop.time() < next_flush:
                 await asyncio.sleep(next_flush - loop.time())
-            while len(events) < _MAX_EVENTS_PER_FRAME:
+            while len(messages) < _MAX_EVENTS_PER_FRAME:
                 message = self._outbox.take()
                 if message is None:
                     break
-                events.append(to_event(message))
+                messages.append(message)
             next_flush = loop.time() + _FLUSH_INTERVAL_S
+            await self._send_frame(messages)
+
+    async def _send_frame(self, messages: list[Any]) -> None:
+        events = []
+        for message in messages:
+            if isinstance(message, _Flush):
+                self._flushing.append(message)
+            else:
+                events.append(to_event(message))
+        if events:
             await self._stream.send_message(pb.AgentFrame(events=events))
+        self._answer_flushes()
+
+    def _answer_flushes(self) -> None:
+        for flush in self._flushing:
+            flush.reply.send(None)
+        self._flushing.clear()
+
+    def _end(self) -> None:
+        self._is_ended = True
+        while (message := self._outbox.take()) is not None:
+            if isinstance(message, _Flush):
+                self._flushing.append(message)
+        self._answer_flushes()
