--- a/packages/core/src/sardineyard/core/states.py
+++ b/packages/core/src/sardineyard/core/states.py
@@ -36,3 +36,11 @@
 
     MODEL_RUNNER = "model_runner"
     PLAIN_SERVICE = "plain_service"
+
+
+@unique
+class ProcessRole(Enum):
+    """Name what a process of the system does."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
--- /dev/null
+++ b/packages/wire/tests/conftest.py
@@ -0,0 +1,11 @@
+"""Fixtures of the wire tests."""
+
+import pytest
+
+from sardineyard.core.clock import ManualClock
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """Return a clock that stands still."""
+    return ManualClock()
