--- a/packages/document/src/sardineyard/document/codec.py
+++ b/packages/document/src/sardineyard/document/codec.py
@@ -1,40 +1,58 @@
-"""Decoding of documents from JSON."""
+"""Decoding and encoding of documents, and the published JSON Schema."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from returns.result import Failure, Success
 
 from sardineyard.document.model import Document
+from sardineyard.document.shape import shape_violations
+from sardineyard.document.validation import relation_violations
+from sardineyard.document.violations import violation
 
 if TYPE_CHECKING:
     from returns.result import Result
 
+    from sardineyard.document.violations import Violation
 
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """Say where a document is invalid, with which value and why."""
-
-    path: str
-    value: str
-    reason: str
+# The platform holds values up to one megabyte.
+MAX_DOCUMENT_BYTES = 1_000_000
 
 
 def decode(raw: bytes) -> Result[Document, tuple[Violation, ...]]:
-    """Decode and check a document."""
+    """Decode a document and check it; a failure holds every violation."""
+    if len(raw) > MAX_DOCUMENT_BYTES:
+        reason = f"longer than {MAX_DOCUMENT_BYTES} bytes"
+        return Failure((violation("$", f"{len(raw)} bytes", reason),))
     try:
         document = msgspec.json.decode(raw, type=Document)
-    except msgspec.ValidationError as error:
-        reason, _, path = str(error).partition(" - at ")
-        return Failure((Violation(path.strip("`") or "$", "", reason),))
+    except msgspec.ValidationError:
+        return Failure(shape_violations(Document, msgspec.json.decode(raw)))
     except msgspec.DecodeError as error:
-        return Failure((Violation("$", "", str(error)),))
-    return Success(document)
+        return Failure((violation("$", "", f"not JSON: {error}"),))
+    except UnicodeDecodeError as error:
+        return Failure((violation("$", "", f"not UTF-8: {error.reason}"),))
+    found = relation_violations(document)
+    return Failure(found) if found else Success(document)
 
 
 def encode(document: Document) -> bytes:
     """Encode a document as JSON."""
     return msgspec.json.encode(document)
+
+
+def encode_readable(document: Document) -> bytes:
+    """Encode a document as JSON with one field a line."""
+    return msgspec.json.format(encode(document), indent=2) + b"\n"
+
+
+def json_schema() -> dict[str, Any]:
+    """Return the JSON Schema of a document."""
+    return msgspec.json.schema(Document)
+
+
+def encode_schema() -> bytes:
+    """Return the text of the published JSON Schema."""
+    return msgspec.json.format(msgspec.json.encode(json_schema()), indent=2) + b"\n"
