Follow the document from platform and peers with tasks that own their sockets

Cause: a process learned documents from the platform only, by a watch of its own, and adopted the first answer, even from a stale platform. The test fleet spreads its processes over the failure domains.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -11,8 +11,8 @@
 from sardineyard.agent.messages import Drain
 from sardineyard.agent.scheduler import Scheduler
 from sardineyard.agent.service import AgentService
-from sardineyard.configsync.follower import ConfigFollower
-from sardineyard.configsync.peer_service import PeerService
+from sardineyard.configsync.members import PeerMember
+from sardineyard.configsync.sync import ConfigSync
 from sardineyard.core.ids import UpstreamId
 from sardineyard.core.mailbox import Reply
 from sardineyard.core.states import ProcessState, UpstreamKind
@@ -23,10 +23,7 @@
 from sardineyard.runner import ModelRunner, PlainService
 
 if TYPE_CHECKING:
-    from typing import Any
-
     from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
     from sardineyard.runner import Runner
     from sardineyard.settings.processes import AgentSettings
 
@@ -44,10 +41,20 @@
         incarnation = self._identity.incarnation
         self._scheduler = Scheduler(upstream, incarnation, self._runner(), clock)
         self._key_owner = KeyOwner(self._scheduler.mailbox)
-        subscribers: list[Mailbox[Any]] = [self._scheduler.mailbox]
-        self._follower = ConfigFollower(
-            settings.platform_address, Random(), subscribers
+        self._sync = ConfigSync(
+            PeerMember(
+                self._identity.process,
+                self._identity.advertised_address,
+                incarnation,
+                self._identity.failure_domain,
+                clock.now(),
+            ),
+            settings.platform_address,
+            settings.seed_peers,
+            clock,
+            Random(),
         )
+        self._sync.subscribe(self._scheduler.mailbox)
         self._server = Server(
             [
                 AgentService(
@@ -57,7 +64,7 @@
                     self._key_owner.mailbox,
                     clock,
                 ),
-                PeerService(self._identity.process, incarnation, self._follower),
+                self._sync.service,
             ]
         )
         self._admin = AdminServer(
@@ -68,9 +75,9 @@
         """Start the tasks and listen."""
         self._tasks.start("scheduler", self._scheduler.run())
         self._tasks.start("key-owner", self._key_owner.run())
-        self._tasks.start("config-follower", self._follower.run())
         address = self._settings.peer_address
         await self._server.start(address.host, address.port)
+        self._sync.start(self._tasks)
         await self._admin.start()
         self._state = ProcessState.SERVING
 
@@ -101,17 +108,16 @@
         return PlainService(self._pool)
 
     def _is_ready(self) -> bool:
-        return (
-            self._state is ProcessState.SERVING and self._follower.current is not None
-        )
+        return self._state is ProcessState.SERVING and self._sync.current is not None
 
     async def _dump(self) -> object:
-        current = self._follower.current
+        current = self._sync.current
         return {
             "process": self._identity.process,
             "incarnation": self._identity.incarnation,
             "state": self._state,
             "document_version": current.order.version if current else None,
+            "config": await self._sync.dump(),
             "open_requests": self._scheduler.open_requests,
         }
 
--- a/packages/configsync/src/sardineyard/configsync/follower.py
+++ b/packages/configsync/src/sardineyard/configsync/follower.py
@@ -1,103 +1,171 @@
-"""Task that follows the configuration document on the platform."""
+"""Task that owns the document in force."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure, Success
 
-from sardineyard.configsync.messages import DocumentAdopted
+from sardineyard.configsync.adoption import (
+    START_WINDOW_S,
+    StartGate,
+    Verdict,
+    is_race,
+    judge,
+)
+from sardineyard.configsync.messages import (
+    DocumentAdopted,
+    DocumentOffered,
+    DocumentRequested,
+    FleetViewChanged,
+    SourceSettled,
+    StartWindowEnded,
+)
+from sardineyard.configsync.platform_reader import PlatformReader
+from sardineyard.core.clock import deadline_after
+from sardineyard.core.mailbox import Mailbox
 from sardineyard.document.codec import decode
 from sardineyard.document.order import DocumentOrder, digest_of
-from sardineyard.httpio.client import ResponseError, fetch
-from sardineyard.httpio.messages import HttpRequest
 
 if TYPE_CHECKING:
     from random import Random
 
     from sardineyard.core.address import Address
-    from sardineyard.core.mailbox import Mailbox
+    from sardineyard.core.clock import Clock
+    from sardineyard.document.model import Document, DocumentDigest
+    from sardineyard.document.violations import Violation
 
 _logger = logging.getLogger(__name__)
 
-_WATCH_S = 20.0
-_TIMEOUT_S = 25.0
-_FIRST_BACKOFF_S = 0.2
-_LONGEST_BACKOFF_S = 10.0
-
-
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """Offer the bytes of a document that may be newer."""
-
-    raw: bytes
-    source: str
-
 
 class ConfigFollower:
-    """Own the document in force and publish each newer one."""
-
-    def __init__(
-        self, platform: Address, random: Random, subscribers: list[Mailbox[Any]]
-    ) -> None:
-        self._platform = platform
-        self._random = random
-        self._subscribers = subscribers
+    """Own the document in force and publish each greater one."""
+
+    def __init__(self, platform: Address, clock: Clock, random: Random) -> None:
+        self.mailbox: Mailbox[Any] = Mailbox()
+        self._reader = PlatformReader(platform, self.mailbox, clock, random)
+        self._subscribers = [self._reader.mailbox]
+        self._clock = clock
+        self._gate = StartGate(deadline_after(clock, START_WINDOW_S))
         self._current: DocumentAdopted | None = None
+        # The greatest document of the start, held back until the gate opens.
+        self._greatest: DocumentAdopted | None = None
+        self._rejected: DocumentDigest | None = None
 
     @property
     def current(self) -> DocumentAdopted | None:
         """Return the document in force, if there is one."""
         return self._current
 
+    def subscribe(self, mailbox: Mailbox[Any]) -> None:
+        """Send each document that comes into force to a mailbox."""
+        self._subscribers.append(mailbox)
+
     async def run(self) -> None:
-        """Watch the platform for ever."""
-        backoff = _FIRST_BACKOFF_S
-        while True:
-            if await self._read_once():
-                backoff = _FIRST_BACKOFF_S
-                continue
-            await asyncio.sleep(self._random.uniform(0, backoff))
-            backoff = min(backoff * 2, _LONGEST_BACKOFF_S)
-
-    def consider(self, candidate: Candidate) -> None:
-        """Adopt a document if it is valid and greater than the one in force."""
-        match decode(candidate.raw):
+        """Read the platform and handle messages for ever."""
+        loop = asyncio.get_running_loop()
+        self._gate.closes_at = deadline_after(self._clock, START_WINDOW_S)
+        timer = loop.call_later(START_WINDOW_S, self.mailbox.offer, StartWindowEnded())
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._reader.run(), name="platform-reader")
+                while True:
+                    self._handle(await self.mailbox.receive())
+                    self._publish()
+        finally:
+            timer.cancel()
+
+    @singledispatchmethod
+    def _handle(self, message: object) -> None:
+        raise TypeError(f"unexpected message {type(message).__name__}")
+
+    @_handle.register(DocumentOffered)
+    def _offered(self, message: DocumentOffered) -> None:
+        verdict = self._consider(message.raw, message.origin)
+        if message.reply is not None:
+            message.reply.send(verdict)
+
+    @_handle.register(SourceSettled)
+    def _settled(self, message: SourceSettled) -> None:
+        self._gate.settle(message.source)
+
+    @_handle.register(StartWindowEnded)
+    def _window_ended(self, message: StartWindowEnded) -> None:
+        # The gate itself compares the time; the message only wakes the task.
+        pass
+
+    @_handle.register(FleetViewChanged)
+    def _fleet_view(self, message: FleetViewChanged) -> None:
+        self._reader.mailbox.offer(message)
+
+    @_handle.register(DocumentRequested)
+    def _requested(self, message: DocumentRequested) -> None:
+        message.reply.send(self._current)
+
+    def _consider(self, raw: bytes, origin: str) -> Verdict | None:
+        digest = digest_of(raw)
+        held = self._greatest.order if self._greatest else None
+        if held is not None and digest == held.digest:
+            return Verdict.SAME
+        if digest == self._rejected:
+            return None
+        match decode(raw):
             case Success(document):
-                order = DocumentOrder(document.version, digest_of(candidate.raw))
-                if self._current is None or order > self._current.order:
-                    self._adopt(DocumentAdopted(document, order, candidate.raw))
+                return self._compare(document, raw, digest, origin)
             case Failure(violations):
-                _logger.error(
-                    "rejected an invalid document",
-                    extra={
-                        "event": "document_rejected",
-                        "source": candidate.source,
-                        "violations": [str(violation) for violation in violations],
-                    },
-                )
-
-    async def _read_once(self) -> bool:
-        after = self._current.order.version if self._current else -1
-        target = f"/v1/config?after={after}&wait={_WATCH_S}"
-        try:
-            response = await fetch(
-                self._platform, HttpRequest("GET", target), _TIMEOUT_S
+                self._reject(digest, violations, origin)
+        return None
+
+    def _compare(
+        self, document: Document, raw: bytes, digest: DocumentDigest, origin: str
+    ) -> Verdict:
+        held = self._greatest.order if self._greatest else None
+        order = DocumentOrder(document.version, digest)
+        if is_race(held, order):
+            _logger.warning(
+                "two documents have the same version, the greater digest wins",
+                extra={
+                    "event": "document_race",
+                    "version": order.version,
+                    "digests": sorted([order.digest, held.digest if held else ""]),
+                    "origin": origin,
+                },
             )
-        except (OSError, TimeoutError, ResponseError):
-            return False
-        if response.status == 200:
-            self.consider(Candidate(response.body, "platform"))
-        return response.status in (200, 304)
-
-    def _adopt(self, adopted: DocumentAdopted) -> None:
-        self._current = adopted
+        verdict = judge(held, order)
+        if verdict is Verdict.ADOPT:
+            self._greatest = DocumentAdopted(document, order, raw)
+        return verdict
+
+    def _reject(
+        self, digest: DocumentDigest, violations: tuple[Violation, ...], origin: str
+    ) -> None:
+        self._rejected = digest
+        _logger.error(
+            "rejected an invalid document, the one in force stays",
+            extra={
+                "event": "document_rejected",
+                "origin": origin,
+                "violations": [str(violation) for violation in violations],
+            },
+        )
+
+    def _publish(self) -> None:
+        greatest = self._greatest
+        if greatest is self._current or greatest is None:
+            return
+        if self._current is None and not self._gate.is_open(self._clock.now()):
+            return
+        self._current = greatest
         _logger.info(
             "document in force",
-            extra={"event": "document_adopted", "version": adopted.order.version},
+            extra={
+                "event": "document_adopted",
+                "version": greatest.order.version,
+                "digest": greatest.order.digest,
+            },
         )
         for subscriber in self._subscribers:
-            subscriber.post(adopted)
+            subscriber.post(greatest)
--- a/packages/configsync/src/sardineyard/configsync/peer_service.py
+++ b/packages/configsync/src/sardineyard/configsync/peer_service.py
@@ -2,47 +2,55 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from sardineyard.configsync.dialing import identify
+from sardineyard.configsync.messages import DocumentRequested, PeerCalled
 from sardineyard.core.address import parse_address
+from sardineyard.core.mailbox import Reply
 from sardineyard.wire import peer_pb2 as pb
 from sardineyard.wire.peer_grpc import PeerBase
 
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-    from sardineyard.configsync.follower import ConfigFollower
+    from sardineyard.configsync.messages import DocumentAdopted
     from sardineyard.core.ids import Incarnation, ProcessId
+    from sardineyard.core.mailbox import Mailbox
 
 
 class PeerService(PeerBase):
     """Answer other processes about identity and the document in force."""
 
     def __init__(
-        self, process: ProcessId, incarnation: Incarnation, follower: ConfigFollower
+        self,
+        process: ProcessId,
+        incarnation: Incarnation,
+        follower: Mailbox[Any],
+        exchange: Mailbox[Any],
     ) -> None:
         self._process = process
         self._incarnation = incarnation
         self._follower = follower
+        self._exchange = exchange
 
     async def Exchange(self, stream: Stream[pb.PeerState, pb.PeerState]) -> None:  # noqa: N802
-        """Answer with the order of the document in force."""
-        await stream.recv_message()
-        current = self._follower.current
-        await stream.send_message(
-            pb.PeerState(
-                document_version=current.order.version if current else 0,
-                document_digest=current.order.digest if current else "",
-            )
-        )
+        """Take the state of a peer and answer with the own one."""
+        state = await stream.recv_message()
+        if state is None:
+            return
+        reply: Reply[pb.PeerState] = Reply()
+        self._exchange.post(PeerCalled(state, reply))
+        await stream.send_message(await reply.wait())
 
     async def FetchDocument(  # noqa: N802
         self, stream: Stream[pb.FetchDocumentRequest, pb.FetchDocumentReply]
     ) -> None:
         """Answer with the bytes of the document in force."""
         await stream.recv_message()
-        current = self._follower.current
+        reply: Reply[DocumentAdopted | None] = Reply()
+        self._follower.post(DocumentRequested(reply))
+        current = await reply.wait()
         await stream.send_message(
             pb.FetchDocumentReply(
                 version=current.order.version if current else 0,
--- /dev/null
+++ b/packages/configsync/src/sardineyard/configsync/sync.py
@@ -0,0 +1,65 @@
+"""The tasks of a process that follow the document, connected to each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from sardineyard.configsync.exchange import PeerExchange
+from sardineyard.configsync.follower import ConfigFollower
+from sardineyard.configsync.messages import DumpPeers
+from sardineyard.configsync.peer_service import PeerService
+from sardineyard.core.mailbox import Reply
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sardineyard.configsync.members import PeerMember
+    from sardineyard.configsync.messages import DocumentAdopted
+    from sardineyard.core.address import Address
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.mailbox import Mailbox
+    from sardineyard.core.tasks import TaskSet
+
+
+class ConfigSync:
+    """Hold the follower, the peer exchange and the service for peers."""
+
+    def __init__(
+        self,
+        own: PeerMember,
+        platform: Address,
+        seeds: tuple[Address, ...],
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._follower = ConfigFollower(platform, clock, random)
+        self._exchange = PeerExchange(own, seeds, self._follower.mailbox, clock, random)
+        self.subscribe(self._exchange.mailbox)
+        self.service = PeerService(
+            own.process, own.incarnation, self._follower.mailbox, self._exchange.mailbox
+        )
+
+    @property
+    def current(self) -> DocumentAdopted | None:
+        """Return the document in force, if there is one."""
+        return self._follower.current
+
+    def subscribe(self, mailbox: Mailbox[Any]) -> None:
+        """Send each document that comes into force to a mailbox."""
+        self._follower.subscribe(mailbox)
+
+    def start(self, tasks: TaskSet) -> None:
+        """Start the tasks; the server of the peer service must listen already."""
+        tasks.start("config-follower", self._follower.run())
+        tasks.start("peer-exchange", self._exchange.run())
+
+    async def dump(self) -> dict[str, object]:
+        """Return what the process knows about the document and its peers."""
+        reply: Reply[dict[str, object]] = Reply()
+        self._exchange.mailbox.post(DumpPeers(reply))
+        order = self.current.order if self.current else None
+        return {
+            "version": order.version if order else None,
+            "digest": order.digest if order else None,
+            **await reply.wait(),
+        }
--- a/packages/document/src/sardineyard/document/validation.py
+++ b/packages/document/src/sardineyard/document/validation.py
@@ -7,13 +7,13 @@
 from ipaddress import ip_address
 from typing import TYPE_CHECKING, Any
 
+from sardineyard.core.states import UpstreamKind
 from sardineyard.document.model import (
     Group,
     Priority,
     Service,
     Team,
     Upstream,
-    UpstreamKind,
 )
 from sardineyard.document.violations import violation
 
--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from grpclib.server import Server
 
-from sardineyard.configsync.follower import ConfigFollower
-from sardineyard.configsync.peer_service import PeerService
+from sardineyard.configsync.members import PeerMember
+from sardineyard.configsync.sync import ConfigSync
 from sardineyard.core.mailbox import Reply
 from sardineyard.core.states import ProcessState
 from sardineyard.core.tasks import TaskSet
@@ -27,7 +27,6 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
     from sardineyard.settings.processes import EntrySettings
 
 
@@ -46,10 +45,20 @@
             self._identity.failure_domain,
         )
         self._router = Router(hello, clock, Random())
-        subscribers: list[Mailbox[Any]] = [self._router.mailbox]
-        self._follower = ConfigFollower(
-            settings.platform_address, Random(), subscribers
+        self._sync = ConfigSync(
+            PeerMember(
+                self._identity.process,
+                self._identity.advertised_address,
+                self._identity.incarnation,
+                self._identity.failure_domain,
+                clock.now(),
+            ),
+            settings.platform_address,
+            settings.seed_peers,
+            clock,
+            Random(),
         )
+        self._sync.subscribe(self._router.mailbox)
         attempts = Attempts(self._router.mailbox, clock)
         self._front = CallerFront(
             self._directory,
@@ -65,13 +74,7 @@
             self._front.refuse,
             HttpLimits(),
         )
-        self._peers = Server(
-            [
-                PeerService(
-                    self._identity.process, self._identity.incarnation, self._follower
-                )
-            ]
-        )
+        self._peers = Server([self._sync.service])
         self._admin = AdminServer(
             settings.admin_address, self._is_ready, self._dump, self._metrics
         )
@@ -79,9 +82,9 @@
     async def start(self) -> None:
         """Start the tasks and listen."""
         self._tasks.start("router", self._router.run())
-        self._tasks.start("config-follower", self._follower.run())
         address = self._settings.peer_address
         await self._peers.start(address.host, address.port)
+        self._sync.start(self._tasks)
         await self._admin.start()
         await self._callers.start()
         self._state = ProcessState.SERVING
@@ -107,7 +110,7 @@
         await self._tasks.wait_failed()
 
     def _directory(self) -> Directory | None:
-        current = self._follower.current
+        current = self._sync.current
         if current is None:
             return None
         if self._indexed is None or self._indexed[0] is not current:
@@ -118,12 +121,10 @@
         return self._state is ProcessState.DRAINING
 
     def _is_ready(self) -> bool:
-        return (
-            self._state is ProcessState.SERVING and self._follower.current is not None
-        )
+        return self._state is ProcessState.SERVING and self._sync.current is not None
 
     async def _dump(self) -> object:
-        current = self._follower.current
+        current = self._sync.current
         reply: Reply[dict[str, object]] = Reply()
         self._router.mailbox.post(DumpRouter(reply))
         return {
@@ -131,6 +132,7 @@
             "incarnation": self._identity.incarnation,
             "state": self._state,
             "document_version": current.order.version if current else None,
+            "config": await self._sync.dump(),
             "open_requests": self._front.open_requests,
             "router": await reply.wait(),
         }
--- a/packages/standins/src/sardineyard/standins/fleet.py
+++ b/packages/standins/src/sardineyard/standins/fleet.py
@@ -283,7 +283,7 @@
         sections = {
             "process": {
                 "id": name,
-                "failure_domain": "domain-1",
+                "failure_domain": self._domain(name),
                 "admin_address": str(ports.admin),
                 "peer_address": str(ports.peer),
                 "advertised_address": str(ports.peer),
@@ -297,6 +297,11 @@
         path.write_text(_ini(sections))
         self._add(name, f"sardineyard.{role}", ["--settings", str(path)])
 
+    def _domain(self, name: str) -> str:
+        """Spread processes over the domains as the document spreads upstreams."""
+        number = int(name.rpartition("-")[2])
+        return f"domain-{(number - 1) % self.spec.domains + 1}"
+
     def _seeds(self, name: str) -> str:
         others = (other for other in self.ports if other != name)
         return ", ".join(str(self.ports[other].peer) for other in others)
