Complete the settings: help, examples, page and checks across options

Cause: an operator needs every error at once and an example that starts.

New checks: an advertised address that stands for every address, two listening addresses that are equal, options in [DEFAULT], and the errors behind a repeated option.

Ruled out: configparser's default section, which copies its options into every other section.

--- a/packages/settings/src/sardineyard/settings/ini.py
+++ b/packages/settings/src/sardineyard/settings/ini.py
@@ -15,6 +15,10 @@
 
 Value = TypeVar("Value")
 
+# configparser copies the options of its default section into every other one. A name
+# that no file can hold makes [DEFAULT] an ordinary, and so an unknown, section.
+_NO_DEFAULT_SECTION = "\n"
+
 
 @dataclass(frozen=True, slots=True)
 class SettingError:
@@ -43,37 +47,64 @@
     # The text used when the option is absent; None makes the option required.
     default: str | None = None
     help: str = ""
+    # The value in the example file, where a required option needs one.
+    example: str = ""
 
 
 def read(
     text: str, options: Mapping[str, Option[Any]]
 ) -> Result[dict[str, Any], tuple[SettingError, ...]]:
     """Parse INI text and return the value of every option by field name."""
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text)
-    except configparser.Error as error:
-        return Failure((SettingError("-", "-", str(error), "INI syntax"),))
-    errors = _unknown_options(parser, options)
+    parser, errors = _parse(text)
+    errors += _unknown_options(parser, options)
     values: dict[str, Any] = {}
     for field, option in options.items():
         raw = parser.get(option.section, option.name, fallback=option.default)
         if raw is None:
-            errors.append(_error(option, "required option is missing"))
+            errors.append(option_error(option, "required option is missing"))
             continue
         try:
             values[field] = option.parse(raw.strip())
         except ValueError as error:
-            errors.append(_error(option, f"{raw!r} is not valid ({error})"))
+            errors.append(option_error(option, f"{raw!r} is not valid ({error})"))
     return Failure(tuple(errors)) if errors else Success(values)
 
 
-def _error(option: Option[Any], problem: str) -> SettingError:
+def option_error(option: Option[Any], problem: str) -> SettingError:
+    """Return the error that an option has a problem."""
     return SettingError(option.section, option.name, problem, option.allowed)
 
 
+def _parse(text: str) -> tuple[configparser.RawConfigParser, list[SettingError]]:
+    parser = _parser(strict=True)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        errors = [SettingError("-", "-", _one_line(error), "INI syntax")]
+    else:
+        return parser, []
+    # A second, lenient reading finds the errors behind a duplicate.
+    lenient = _parser(strict=False)
+    try:
+        lenient.read_string(text)
+    except configparser.Error:
+        pass
+    return lenient, errors
+
+
+def _parser(*, strict: bool) -> configparser.RawConfigParser:
+    return configparser.RawConfigParser(
+        strict=strict, default_section=_NO_DEFAULT_SECTION
+    )
+
+
+def _one_line(error: configparser.Error) -> str:
+    text = " ".join(str(error).split())
+    return text.replace("While reading from '<string>' ", "").replace("'<string>'", "")
+
+
 def _unknown_options(
-    parser: configparser.ConfigParser, options: Mapping[str, Option[Any]]
+    parser: configparser.RawConfigParser, options: Mapping[str, Option[Any]]
 ) -> list[SettingError]:
     known: dict[str, list[str]] = {}
     for option in options.values():
--- a/packages/settings/src/sardineyard/settings/parsers.py
+++ b/packages/settings/src/sardineyard/settings/parsers.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 from typing import TYPE_CHECKING
 
 from sardineyard.core.address import parse_address as address
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sardineyard.core.address import Address
 
 
+def reachable_address(text: str) -> Address:
+    """Parse an address to which other processes can connect."""
+    value = address(text)
+    if ip_address(value.host).is_unspecified:
+        raise ValueError("stands for every address of the VM")
+    return value
+
+
 def addresses(text: str) -> tuple[Address, ...]:
     """Parse a list of addresses separated by commas."""
     return tuple(address(part.strip()) for part in text.split(",") if part.strip())
@@ -30,3 +41,14 @@
     ):
         raise ValueError("empty or with characters other than letters, digits and ._-")
     return text
+
+
+def one_of(*allowed: str) -> Callable[[str], str]:
+    """Return the parser of a text that is one of several."""
+
+    def parse(text: str) -> str:
+        if text not in allowed:
+            raise ValueError("unknown value")
+        return text
+
+    return parse
--- a/packages/settings/src/sardineyard/settings/processes.py
+++ b/packages/settings/src/sardineyard/settings/processes.py
@@ -2,23 +2,29 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
+from returns.result import Failure, Success
+
 from sardineyard.core.address import parse_address
 from sardineyard.settings import parsers
-from sardineyard.settings.ini import Option, read
+from sardineyard.settings.ini import Option, option_error, read
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from returns.result import Result
 
     from sardineyard.core.address import Address
     from sardineyard.settings.ini import SettingError
 
 _ADDRESS = "IP address and port, such as 127.0.0.1:8080"
+_REACHABLE = "IP address and port at which other VMs reach this one"
 _ADDRESSES = "IP addresses with ports, separated by commas"
 _SECONDS = "a positive number of seconds"
 _NAME = "letters, digits, dots, dashes and underscores"
+_LEVELS = ("debug", "info", "warning", "error")
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,45 +57,160 @@
     upstream_address: Address
 
 
-def _log_level(text: str) -> str:
-    if text not in ("debug", "info", "warning", "error"):
-        raise ValueError("unknown level")
-    return text
-
-
 _PROCESS_OPTIONS: dict[str, Option[Any]] = {
-    "process": Option("process", "id", parsers.identifier, _NAME),
-    "failure_domain": Option("process", "failure_domain", parsers.identifier, _NAME),
-    "admin_address": Option("process", "admin_address", parse_address, _ADDRESS),
-    "peer_address": Option("process", "peer_address", parse_address, _ADDRESS),
+    "process": Option(
+        "process",
+        "id",
+        parsers.identifier,
+        _NAME,
+        help="Name of this process, unique in the fleet; it marks logs and metrics.",
+        example="entry-1",
+    ),
+    "failure_domain": Option(
+        "process",
+        "failure_domain",
+        parsers.identifier,
+        _NAME,
+        help="Failure domain in which this VM runs, as the document names it.",
+        example="domain-a",
+    ),
+    "admin_address": Option(
+        "process",
+        "admin_address",
+        parse_address,
+        _ADDRESS,
+        help="Where to serve /state, /metrics, /healthz and /readyz to operators.",
+        example="127.0.0.1:9101",
+    ),
+    "peer_address": Option(
+        "process",
+        "peer_address",
+        parse_address,
+        _ADDRESS,
+        help="Where to listen for other processes of the fleet.",
+        example="127.0.0.1:9201",
+    ),
     "advertised_address": Option(
-        "process", "advertised_address", parse_address, _ADDRESS
+        "process",
+        "advertised_address",
+        parsers.reachable_address,
+        _REACHABLE,
+        help="Address that other processes use for peer_address of this one.",
+        example="127.0.0.1:9201",
     ),
-    "platform_address": Option("platform", "address", parse_address, _ADDRESS),
-    "seed_peers": Option("peers", "seeds", parsers.addresses, _ADDRESSES, ""),
     "drain_timeout_s": Option(
-        "process", "drain_timeout_s", parsers.seconds, _SECONDS, "30"
+        "process",
+        "drain_timeout_s",
+        parsers.seconds,
+        _SECONDS,
+        "30",
+        help="Seconds that open requests have to finish after SIGTERM.",
+    ),
+    "platform_address": Option(
+        "platform",
+        "address",
+        parse_address,
+        _ADDRESS,
+        help="Configuration service that holds the document and the list of VMs.",
+        example="127.0.0.1:9000",
+    ),
+    "seed_peers": Option(
+        "peers",
+        "seeds",
+        parsers.addresses,
+        _ADDRESSES,
+        "",
+        help=(
+            "Advertised addresses of a few other processes, asked for the document "
+            "when the platform does not answer."
+        ),
+        example="127.0.0.1:9202, 127.0.0.1:9203",
     ),
     "log_level": Option(
-        "logging", "level", _log_level, "debug, info, warning, error", "info"
+        "logging",
+        "level",
+        parsers.one_of(*_LEVELS),
+        ", ".join(_LEVELS),
+        "info",
+        help="Least important level that is logged.",
     ),
 }
 ENTRY_OPTIONS: dict[str, Option[Any]] = {
     **_PROCESS_OPTIONS,
-    "caller_address": Option("entry", "caller_address", parse_address, _ADDRESS),
+    "caller_address": Option(
+        "entry",
+        "caller_address",
+        parse_address,
+        _ADDRESS,
+        help="Where to listen for callers.",
+        example="127.0.0.1:8080",
+    ),
+}
+# Both examples can run on one machine.
+_AGENT_EXAMPLES = {
+    "process": "agent-1",
+    "admin_address": "127.0.0.1:9102",
+    "peer_address": "127.0.0.1:9202",
+    "advertised_address": "127.0.0.1:9202",
+    "seed_peers": "127.0.0.1:9201, 127.0.0.1:9203",
 }
 AGENT_OPTIONS: dict[str, Option[Any]] = {
     **_PROCESS_OPTIONS,
-    "upstream": Option("agent", "upstream", parsers.identifier, _NAME),
-    "upstream_address": Option("agent", "upstream_address", parse_address, _ADDRESS),
+    **{
+        field: replace(_PROCESS_OPTIONS[field], example=text)
+        for field, text in _AGENT_EXAMPLES.items()
+    },
+    "upstream": Option(
+        "agent",
+        "upstream",
+        parsers.identifier,
+        _NAME,
+        help="Id of the upstream of this agent, as the document names it.",
+        example="runner-1",
+    ),
+    "upstream_address": Option(
+        "agent",
+        "upstream_address",
+        parse_address,
+        _ADDRESS,
+        help="Where the upstream listens.",
+        example="127.0.0.1:8000",
+    ),
 }
+# Every one of them is bound when the process starts.
+_LISTENING = ("caller_address", "admin_address", "peer_address")
 
 
 def read_entry_settings(text: str) -> Result[EntrySettings, tuple[SettingError, ...]]:
     """Read the settings of an entry from INI text."""
-    return read(text, ENTRY_OPTIONS).map(lambda values: EntrySettings(**values))
+    values = _read(text, ENTRY_OPTIONS)
+    return values.map(lambda found: EntrySettings(**found))
 
 
 def read_agent_settings(text: str) -> Result[AgentSettings, tuple[SettingError, ...]]:
     """Read the settings of an agent from INI text."""
-    return read(text, AGENT_OPTIONS).map(lambda values: AgentSettings(**values))
+    values = _read(text, AGENT_OPTIONS)
+    return values.map(lambda found: AgentSettings(**found))
+
+
+def _read(
+    text: str, options: Mapping[str, Option[Any]]
+) -> Result[dict[str, Any], tuple[SettingError, ...]]:
+    return read(text, options).bind(lambda values: _check(values, options))
+
+
+def _check(
+    values: dict[str, Any], options: Mapping[str, Option[Any]]
+) -> Result[dict[str, Any], tuple[SettingError, ...]]:
+    errors = []
+    taken: dict[Address, str] = {}
+    for field in _LISTENING:
+        address = values.get(field)
+        # The operating system chooses another port for each port 0.
+        if address is None or address.port == 0:
+            continue
+        if address in taken:
+            problem = f"{address} is {options[taken[address]].name} as well"
+            errors.append(option_error(options[field], problem))
+        taken.setdefault(address, field)
+    return Failure(tuple(errors)) if errors else Success(values)
--- /dev/null
+++ b/packages/settings/src/sardineyard/settings/reference.py
@@ -0,0 +1,87 @@
+"""Example settings files and the page of settings, made from the options."""
+
+from __future__ import annotations
+
+import sys
+from textwrap import wrap
+from typing import TYPE_CHECKING, Any
+
+from sardineyard.settings.processes import AGENT_OPTIONS, ENTRY_OPTIONS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from sardineyard.settings.ini import Option
+
+    Options = Mapping[str, Option[Any]]
+
+_INTRODUCTION = """# Settings
+
+Each daemon reads one INI file. An absent required option, an unknown option or a value
+that is not allowed stops the start with status 3, and every error is listed at once:
+section, option, problem and what is allowed.
+
+    sardineyard entry --settings examples/entry.ini --check
+    sardineyard agent --settings examples/agent.ini --check
+
+This page and the files in `examples` are made from the options in
+`packages/settings`; `./dev settings` writes them again.
+"""
+
+
+def example(options: Options) -> str:
+    """Return a settings file with every option and its explanation."""
+    lines: list[str] = []
+    for section, members in _sections(options).items():
+        lines.append(f"[{section}]")
+        for option in members:
+            required = option.default is None
+            need = (
+                "Required." if required else f"Default: {option.default or '(none)'}."
+            )
+            text = f"{option.help} Allowed: {option.allowed}. {need}"
+            lines.extend(f"# {line}" for line in wrap(text, 78))
+            value = option.example or option.default
+            lines += [f"{option.name} = {value}", ""]
+    return "\n".join(lines)
+
+
+def page() -> str:
+    """Return the page of settings in Markdown."""
+    parts = [_INTRODUCTION]
+    for title, options in (("Entry", ENTRY_OPTIONS), ("Agent", AGENT_OPTIONS)):
+        parts += [f"## {title}\n", *_table(options), ""]
+    return "\n".join(parts)
+
+
+def _table(options: Options) -> Iterator[str]:
+    yield "| section | option | meaning | allowed | default |"
+    yield "|---|---|---|---|---|"
+    for section, members in _sections(options).items():
+        for option in members:
+            default = "required" if option.default is None else option.default or "none"
+            yield (
+                f"| `{section}` | `{option.name}` | {option.help} "
+                f"| {option.allowed} | {default} |"
+            )
+
+
+def _sections(options: Options) -> dict[str, list[Option[Any]]]:
+    sections: dict[str, list[Option[Any]]] = {}
+    for option in options.values():
+        sections.setdefault(option.section, []).append(option)
+    return sections
+
+
+def main() -> None:
+    """Write the text that an argument names to standard output."""
+    texts = {
+        "entry": lambda: example(ENTRY_OPTIONS),
+        "agent": lambda: example(AGENT_OPTIONS),
+        "page": page,
+    }
+    sys.stdout.write(texts[sys.argv[1]]())
+
+
+if __name__ == "__main__":
+    main()
