Add the command line and the operators' console

Cause: operators need one command for daemons, documents and state, and forms whose only output is one valid document.

Change: cleo commands entry, agent, console, config check|diff|show, state, demo and completions, with documented exit codes; a daemon is started by os.execv of `python -m sardineyard.entry|agent`, so its image holds no cleo. Form fields follow the types of the document's structures. Forms carry a token of the process; hosts that are names are refused because of DNS rebinding.

Ruled out: a draft file (state on disk), sessions (no sign-in exists).

--- /dev/null
+++ b/packages/cli/src/sardineyard/cli/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of `sardineyard` and of `python -m sardineyard.cli`."""
+
+import sys
+
+from sardineyard.cli.app import CommandLine
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(CommandLine().run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cli/src/sardineyard/cli/demo.py
@@ -0,0 +1,33 @@
+"""The command that shows the whole system on one machine."""
+
+from __future__ import annotations
+
+import os
+import sys
+from importlib.util import find_spec
+
+from sardineyard.cli.base import BaseCommand
+from sardineyard.cli.exits import ExitCode
+
+DEMO_MODULE = "sardineyard.standins.demo"
+
+
+class DemoCommand(BaseCommand):
+    """Start every process on loopback addresses and send requests through them."""
+
+    name = "demo"
+    description = "Start every process, send a completion and a booking, and stop."
+    help = """Starts stand-ins of the platform, of a model runner and of a booking
+service with their agents and an entry, all on loopback addresses, sends requests
+through them and stops them. It needs the package <info>sardineyard-standins</info>.
+"""
+
+    def handle(self) -> int:
+        """Run the command."""
+        if find_spec("sardineyard.standins") is None or find_spec(DEMO_MODULE) is None:
+            return self.fail(
+                ExitCode.FAILED, ["the demo needs the package sardineyard-standins"]
+            )
+        sys.stdout.flush()
+        os.execv(sys.executable, [sys.executable, "-m", DEMO_MODULE])
+        return ExitCode.OK
--- a/packages/settings/src/sardineyard/settings/reference.py
+++ b/packages/settings/src/sardineyard/settings/reference.py
@@ -18,7 +18,7 @@
 _INTRODUCTION = """# Settings
 
 Each daemon reads one INI file. An absent required option, an unknown option or a value
-that is not allowed stops the start with status 3, and every error is listed at once:
+that is not allowed stops the start with status 2, and every error is listed at once:
 section, option, problem and what is allowed.
 
     sardineyard entry --settings examples/entry.ini --check
