--- a/packages/cli/src/sardineyard/cli/demo.py
+++ b/packages/cli/src/sardineyard/cli/demo.py
@@ -5,11 +5,17 @@
 import os
 import sys
 from importlib.util import find_spec
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import option
 
 from sardineyard.cli.base import BaseCommand
 from sardineyard.cli.exits import ExitCode
 
-DEMO_MODULE = "sardineyard.standins.demo"
+if TYPE_CHECKING:
+    from cleo.io.inputs.option import Option
+
+DEMO_MODULE = "sardineyard.standins"
 
 
 class DemoCommand(BaseCommand):
@@ -21,13 +27,17 @@
 service with their agents and an entry, all on loopback addresses, sends requests
 through them and stops them. It needs the package <info>sardineyard-standins</info>.
 """
+    options: ClassVar[list[Option]] = [
+        option("keep", "k", "Stay up until Ctrl-C, and print a request to try.")
+    ]
 
     def handle(self) -> int:
         """Run the command."""
-        if find_spec("sardineyard.standins") is None or find_spec(DEMO_MODULE) is None:
+        if find_spec(DEMO_MODULE) is None:
             return self.fail(
                 ExitCode.FAILED, ["the demo needs the package sardineyard-standins"]
             )
         sys.stdout.flush()
-        os.execv(sys.executable, [sys.executable, "-m", DEMO_MODULE])
+        keep = ["--keep"] if self.option("keep") else []
+        os.execv(sys.executable, [sys.executable, "-m", DEMO_MODULE, *keep])
         return ExitCode.OK
--- a/packages/document/src/sardineyard/document/model.py
+++ b/packages/document/src/sardineyard/document/model.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from enum import Enum, unique
 from typing import Annotated, NewType
 
 import msgspec
@@ -17,6 +16,7 @@
     TeamId,
     UpstreamId,
 )
+from sardineyard.core.states import UpstreamKind
 
 DocumentVersion = NewType("DocumentVersion", int)
 DocumentDigest = NewType("DocumentDigest", str)
@@ -39,14 +39,6 @@
 _BODY_BYTES = Meta(ge=1, le=67_108_864)
 
 
-@unique
-class UpstreamKind(Enum):
-    """Name the protocol that an upstream speaks."""
-
-    MODEL_RUNNER = "model_runner"
-    PLAIN_SERVICE = "plain_service"
-
-
 class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Refuse fields that the document does not know."""
 
--- a/packages/settings/src/sardineyard/settings/processes.py
+++ b/packages/settings/src/sardineyard/settings/processes.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 
 from sardineyard.core.address import parse_address
+from sardineyard.core.states import UpstreamKind
 from sardineyard.settings import parsers
 from sardineyard.settings.ini import Option, option_error, read
 
@@ -23,6 +24,7 @@
 _REACHABLE = "IP address and port at which other VMs reach this one"
 _ADDRESSES = "IP addresses with ports, separated by commas"
 _SECONDS = "a positive number of seconds"
+_KINDS = ", ".join(kind.value for kind in UpstreamKind)
 _NAME = "letters, digits, dots, dashes and underscores"
 _LEVELS = ("debug", "info", "warning", "error")
 
@@ -54,6 +56,7 @@
     """Hold the settings of an agent."""
 
     upstream: str
+    upstream_kind: UpstreamKind
     upstream_address: Address
 
 
@@ -168,6 +171,14 @@
         help="Id of the upstream of this agent, as the document names it.",
         example="runner-1",
     ),
+    "upstream_kind": Option(
+        "agent",
+        "upstream_kind",
+        UpstreamKind,
+        _KINDS,
+        help="Protocol that the upstream speaks, as the document says.",
+        example="model_runner",
+    ),
     "upstream_address": Option(
         "agent",
         "upstream_address",
