Measure requests in the entry and calls in the agent, and type their dumps

Cause: /metrics was empty and /state was an untyped dictionary.

Change: a RequestObserver follows each request of a caller from its arrival to its end (a caller that goes away counts as cancelled); a MeasuredSink counts the ends of calls in the agent; the queue time is recorded when a call starts; Hello, Ping, Welcome and Pong count as control messages. The dumps are EntryDump and AgentDump. The metrics page of the admin server is a coroutine, because the gauges are read from the tasks that own the state.

Ruled out: gauges that each task sets on every change; they are read only at a scrape, so they are set there.

The fleet of the stand-ins reads the new shape of the dump to see links.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -8,7 +8,7 @@
 from grpclib.server import Server
 
 from sardineyard.agent.key_owner import KeyOwner
-from sardineyard.agent.messages import Drain
+from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
 from sardineyard.agent.scheduler import Scheduler
 from sardineyard.agent.service import AgentService
 from sardineyard.configsync.follower import ConfigFollower
@@ -19,16 +19,21 @@
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
+from sardineyard.daemon.observe import document_in_force, measure_process
 from sardineyard.httpio.pool import ConnectionPool
 from sardineyard.runner import ModelRunner, PlainService
+from sardineyard.telemetry.metrics import AgentMetrics
+from sardineyard.telemetry.state import AgentDump
 
 if TYPE_CHECKING:
     from typing import Any
 
     from sardineyard.core.clock import Clock
     from sardineyard.core.mailbox import Mailbox
+    from sardineyard.core.requests import LoadReport
     from sardineyard.runner import Runner
     from sardineyard.settings.processes import AgentSettings
+    from sardineyard.telemetry.state import QueueView
 
 
 class AgentDaemon:
@@ -39,10 +44,15 @@
         self._identity = identify(settings, clock)
         self._state = ProcessState.STARTING
         self._tasks = TaskSet()
+        self._clock = clock
+        self._started = clock.now()
+        self._measured = AgentMetrics(settings.process)
         self._pool = ConnectionPool(settings.upstream_address)
         upstream = UpstreamId(settings.upstream)
         incarnation = self._identity.incarnation
-        self._scheduler = Scheduler(upstream, incarnation, self._runner(), clock)
+        self._scheduler = Scheduler(
+            upstream, incarnation, self._runner(), clock, self._measured
+        )
         self._key_owner = KeyOwner(self._scheduler.mailbox)
         subscribers: list[Mailbox[Any]] = [self._scheduler.mailbox]
         self._follower = ConfigFollower(
@@ -56,6 +66,7 @@
                     self._scheduler.mailbox,
                     self._key_owner.mailbox,
                     clock,
+                    self._measured,
                 ),
                 PeerService(self._identity.process, incarnation, self._follower),
             ]
@@ -105,15 +116,36 @@
             self._state is ProcessState.SERVING and self._follower.current is not None
         )
 
-    async def _dump(self) -> object:
-        current = self._follower.current
-        return {
-            "process": self._identity.process,
-            "incarnation": self._identity.incarnation,
-            "state": self._state,
-            "document_version": current.order.version if current else None,
-            "open_requests": self._scheduler.open_requests,
-        }
-
-    def _metrics(self) -> tuple[dict[str, str], bytes]:
-        return {"content-type": "text/plain"}, b""
+    async def _dump(self) -> AgentDump:
+        load = await self._load()
+        return AgentDump(
+            process=self._identity.process,
+            incarnation=self._identity.incarnation,
+            failure_domain=self._identity.failure_domain,
+            state=self._state,
+            uptime_s=self._clock.now() - self._started,
+            document=document_in_force(self._follower.current),
+            tasks=tuple(self._tasks.names),
+            upstream=load.upstream,
+            slots=load.slots,
+            running=load.running,
+            queued=load.queued,
+            queues=await self._queues(),
+        )
+
+    async def _load(self) -> LoadReport:
+        reply: Reply[LoadReport] = Reply()
+        self._scheduler.mailbox.post(ReadLoad(reply))
+        return await reply.wait()
+
+    async def _queues(self) -> tuple[QueueView, ...]:
+        reply: Reply[tuple[QueueView, ...]] = Reply()
+        self._scheduler.mailbox.post(ReadQueues(reply))
+        return await reply.wait()
+
+    async def _metrics(self) -> tuple[dict[str, str], bytes]:
+        measure_process(self._measured, self._state, self._follower.current)
+        for queue in await self._queues():
+            self._measured.queued(queue.priority, queue.queued)
+        self._measured.running((await self._load()).running)
+        return self._measured.render()
--- a/packages/agent/src/sardineyard/agent/messages.py
+++ b/packages/agent/src/sardineyard/agent/messages.py
@@ -14,6 +14,7 @@
         LoadReport,
         ServiceCall,
     )
+    from sardineyard.telemetry.state import QueueView
 
 SessionId = NewType("SessionId", int)
 
@@ -32,6 +33,8 @@
     request: Generation | ServiceCall
     sink: CallSink
     session: SessionId
+    # Monotonic time at which the scheduler took the request.
+    arrived: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +65,13 @@
     reply: Reply[LoadReport]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadQueues:
+    """Ask the scheduler for the queue of each priority, the most urgent first."""
+
+    reply: Reply[tuple[QueueView, ...]]
+
+
 @dataclass(frozen=True, slots=True)
 class Drain:
     """Ask the scheduler to refuse new work and to answer when the last call ended."""
--- a/packages/agent/src/sardineyard/agent/scheduler.py
+++ b/packages/agent/src/sardineyard/agent/scheduler.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
@@ -12,20 +13,25 @@
     CancelRequest,
     Drain,
     ReadLoad,
+    ReadQueues,
     SessionClosed,
     Submit,
 )
+from sardineyard.agent.observe import MeasuredSink
 from sardineyard.agent.runner_call import run_call
 from sardineyard.configsync.messages import DocumentAdopted
 from sardineyard.core.errors import ErrorKind, RequestError
+from sardineyard.core.ids import PriorityName
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.requests import CallFailed, Generation, LoadReport
+from sardineyard.telemetry.state import QueueView
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
     from sardineyard.core.ids import Incarnation, RequestId, UpstreamId
     from sardineyard.core.mailbox import Reply
     from sardineyard.runner import Runner
+    from sardineyard.telemetry.metrics import AgentMetrics
 
 _DEFAULT_SLOTS = 32
 
@@ -39,12 +45,14 @@
         incarnation: Incarnation,
         runner: Runner,
         clock: Clock,
+        metrics: AgentMetrics,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._upstream = upstream
         self._incarnation = incarnation
         self._runner = runner
         self._clock = clock
+        self._metrics = metrics
         self._slots = _DEFAULT_SLOTS
         self._urgency: dict[str, int] = {}
         self._queued: deque[Submit] = deque()
@@ -75,7 +83,10 @@
         if self._drained is not None:
             _refuse(message, ErrorKind.DRAINING)
         else:
-            self._queued.append(message)
+            priority = message.request.priority
+            sink = MeasuredSink(message.sink, priority, self._metrics)
+            arrived = self._clock.now()
+            self._queued.append(replace(message, sink=sink, arrived=arrived))
 
     @_handle.register(CallEnded)
     def _call_ended(self, message: CallEnded) -> None:
@@ -117,6 +128,27 @@
             )
         )
 
+    @_handle.register(ReadQueues)
+    def _read_queues(self, message: ReadQueues) -> None:
+        queued = Counter(submit.request.priority for submit in self._queued)
+        running = Counter(
+            submit.request.priority for submit, _ in self._running.values()
+        )
+        names = [
+            *self._urgency,
+            *(queued.keys() | running.keys()) - self._urgency.keys(),
+        ]
+        message.reply.send(
+            tuple(
+                QueueView(
+                    priority=PriorityName(name),
+                    queued=queued[PriorityName(name)],
+                    running=running[PriorityName(name)],
+                )
+                for name in names
+            )
+        )
+
     @_handle.register(DocumentAdopted)
     def _document_adopted(self, message: DocumentAdopted) -> None:
         document = message.document
@@ -140,6 +172,8 @@
             if submit.request.deadline <= self._clock.now():
                 _refuse(submit, ErrorKind.DEADLINE_UNREACHABLE)
                 continue
+            waited = self._clock.now() - submit.arrived
+            self._metrics.left_queue(submit.request.priority, waited)
             task = asyncio.get_running_loop().create_task(self._run(submit))
             self._running[submit.request.request_id] = (submit, task)
 
--- a/packages/agent/src/sardineyard/agent/service.py
+++ b/packages/agent/src/sardineyard/agent/service.py
@@ -17,6 +17,7 @@
     from grpclib.server import Stream
 
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import Incarnation, UpstreamId
     from sardineyard.core.mailbox import Mailbox
 
@@ -31,12 +32,14 @@
         scheduler: Mailbox[Any],
         key_owner: Mailbox[Any],
         clock: Clock,
+        meter: ControlMeter,
     ) -> None:
         self._upstream = upstream
         self._incarnation = incarnation
         self._scheduler = scheduler
         self._key_owner = key_owner
         self._clock = clock
+        self._meter = meter
         self._numbers = itertools.count(1)
 
     async def Session(self, stream: Stream[pb.EntryFrame, pb.AgentFrame]) -> None:  # noqa: N802
@@ -47,6 +50,7 @@
             self._scheduler,
             self._key_owner,
             self._clock,
+            self._meter,
         )
         await session.run(self._upstream, self._incarnation)
 
--- a/packages/agent/src/sardineyard/agent/session.py
+++ b/packages/agent/src/sardineyard/agent/session.py
@@ -14,6 +14,7 @@
     SessionClosed,
     Submit,
 )
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.core.requests import Generation, ServiceCall
 from sardineyard.wire import session_pb2 as pb
@@ -28,6 +29,7 @@
         SessionId,
     )
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import Incarnation, UpstreamId
     from sardineyard.wire.agent_frames import AgentMessage
 
@@ -38,6 +40,7 @@
 # Events that arrive within this time of the last frame travel in one frame. This
 # bounds the frames of a busy session at 250 a second.
 _FLUSH_INTERVAL_S = 0.004
+_CONTROL_EVENTS = frozenset({"welcome", "pong"})
 
 
 class Session:
@@ -50,12 +53,14 @@
         scheduler: Mailbox[Any],
         key_owner: Mailbox[Any],
         clock: Clock,
+        meter: ControlMeter,
     ) -> None:
         self._number = number
         self._stream = stream
         self._scheduler = scheduler
         self._key_owner = key_owner
         self._clock = clock
+        self._meter = meter
         self._outbox: Mailbox[AgentMessage] = Mailbox(_OUTBOX_CAPACITY)
 
     async def run(self, upstream: UpstreamId, incarnation: Incarnation) -> None:
@@ -65,6 +70,8 @@
         try:
             async for frame in self._stream:
                 message = from_frame(frame, self._clock)
+                if isinstance(message, (Hello, Ping)):
+                    self._count(Direction.RECEIVED, frame.ByteSize())
                 if message is not None:
                     await self._handle(message)
         finally:
@@ -114,5 +121,11 @@
                 if message is None:
                     break
                 events.append(to_event(message))
+            for event in events:
+                if event.WhichOneof("event") in _CONTROL_EVENTS:
+                    self._count(Direction.SENT, event.ByteSize())
             next_flush = loop.time() + _FLUSH_INTERVAL_S
             await self._stream.send_message(pb.AgentFrame(events=events))
+
+    def _count(self, direction: Direction, size: int) -> None:
+        self._meter.control_message(ControlChannel.SESSION, direction, size)
--- a/packages/cli/src/sardineyard/cli/state.py
+++ b/packages/cli/src/sardineyard/cli/state.py
@@ -106,6 +106,8 @@
     own = [
         ("upstream", dump.upstream),
         ("slots", dump.slots),
+        ("running", dump.running),
+        ("queued", dump.queued),
         ("lease held", dump.lease_held),
         ("idempotency keys", dump.idempotency_keys),
     ]
--- a/packages/daemon/src/sardineyard/daemon/admin.py
+++ b/packages/daemon/src/sardineyard/daemon/admin.py
@@ -18,6 +18,8 @@
 
 # Returns the state of the process as a value that msgspec can encode.
 StateDump: TypeAlias = Callable[[], Awaitable[object]]
+# Returns the headers and the body of the metrics.
+MetricsPage: TypeAlias = Callable[[], Awaitable[tuple[dict[str, str], bytes]]]
 
 _JSON = {"content-type": "application/json"}
 _LIMITS = HttpLimits(max_connections=50, max_body_bytes=65_536)
@@ -31,7 +33,7 @@
         address: Address,
         is_ready: Callable[[], bool],
         state: StateDump,
-        metrics: Callable[[], tuple[dict[str, str], bytes]],
+        metrics: MetricsPage,
     ) -> None:
         self._is_ready = is_ready
         self._state = state
@@ -63,7 +65,7 @@
     exchange: Exchange,
     is_ready: Callable[[], bool],
     state: StateDump | None,
-    metrics: Callable[[], tuple[dict[str, str], bytes]],
+    metrics: MetricsPage,
 ) -> bool:
     """Answer a path for operators; return whether the path was one."""
     match request.path:
@@ -74,7 +76,7 @@
             body = msgspec.json.encode({"ready": ready})
             await exchange.send(200 if ready else 503, _JSON, body)
         case "/metrics":
-            headers, body = metrics()
+            headers, body = await metrics()
             await exchange.send(200, headers, body)
         case "/state" if state is not None:
             await exchange.send(200, _JSON, msgspec.json.encode(await state()))
--- /dev/null
+++ b/packages/daemon/src/sardineyard/daemon/observe.py
@@ -0,0 +1,27 @@
+"""What every daemon tells about itself in metrics and state dump."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineyard.telemetry.state import DocumentInForce
+
+if TYPE_CHECKING:
+    from sardineyard.configsync.messages import DocumentAdopted
+    from sardineyard.core.states import ProcessState
+    from sardineyard.telemetry.metrics import ProcessMetrics
+
+
+def document_in_force(current: DocumentAdopted | None) -> DocumentInForce | None:
+    """Return the document in force for the state dump."""
+    if current is None:
+        return None
+    return DocumentInForce(version=current.order.version, digest=current.order.digest)
+
+
+def measure_process(
+    metrics: ProcessMetrics, state: ProcessState, current: DocumentAdopted | None
+) -> None:
+    """Record the state of the process and its document."""
+    metrics.process_state(state)
+    metrics.document_in_force(0 if current is None else current.order.version)
--- a/packages/entry/src/sardineyard/entry/agent_link.py
+++ b/packages/entry/src/sardineyard/entry/agent_link.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sardineyard.core.clock import NO_DEADLINE, Deadline, deadline_after
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.requests import (
@@ -37,6 +38,7 @@
 
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import RequestId, UpstreamId
     from sardineyard.core.requests import CallEvent
     from sardineyard.wire.control import Hello
@@ -61,6 +63,7 @@
         router: Mailbox[Any],
         clock: Clock,
         random: Random,
+        meter: ControlMeter,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._upstream = upstream
@@ -69,6 +72,7 @@
         self._router = router
         self._clock = clock
         self._random = random
+        self._meter = meter
         self._calls: dict[RequestId, Mailbox[CallEvent]] = {}
         self._session: Session | None = None
         self._session_task: asyncio.Task[None] | None = None
@@ -124,6 +128,10 @@
             event = from_event(encoded)
             if event is not None:
                 self._receive(event)
+            if isinstance(event, (Pong, Welcome)):
+                self._meter.control_message(
+                    ControlChannel.SESSION, Direction.RECEIVED, encoded.ByteSize()
+                )
 
     @_handle.register(SessionLost)
     def _session_lost(self, message: SessionLost) -> None:
@@ -170,7 +178,9 @@
 
     def _dial(self) -> None:
         self._number = SessionNumber(self._number + 1)
-        self._session = Session(self._number, self._address, self.mailbox, self._clock)
+        self._session = Session(
+            self._number, self._address, self.mailbox, self._clock, self._meter
+        )
         self._silent_at = deadline_after(self._clock, SILENCE_LIMIT_S)
         self._session_task = asyncio.get_running_loop().create_task(
             self._session.run(self._hello)
--- a/packages/entry/src/sardineyard/entry/attempts.py
+++ b/packages/entry/src/sardineyard/entry/attempts.py
@@ -35,9 +35,8 @@
     from sardineyard.core.clock import Clock
     from sardineyard.core.ids import UpstreamId
     from sardineyard.core.requests import CallEvent, Generation, ServiceCall
-    from sardineyard.entry.messages import (
-        Pick,
-    )
+    from sardineyard.entry.messages import Pick
+    from sardineyard.telemetry.metrics import EntryMetrics
 
 _MAX_ATTEMPTS = 4
 # A missing token is waited for this long before the upstream counts as failed.
@@ -78,15 +77,18 @@
 class Attempts:
     """Run requests through the router and the links, with retries."""
 
-    def __init__(self, router: Mailbox[Any], clock: Clock) -> None:
+    def __init__(
+        self, router: Mailbox[Any], clock: Clock, metrics: EntryMetrics
+    ) -> None:
         self._router = router
         self._clock = clock
+        self._metrics = metrics
 
     async def generate(
         self, request: Generation
     ) -> AsyncGenerator[GenerationStep, None]:
         """Yield the tokens of an answer, then its end or an error."""
-        run = _GenerationRun(request, self._router, self._clock)
+        run = _GenerationRun(request, self._router, self._clock, self._metrics)
         async for step in run.steps():
             yield step
 
@@ -136,14 +138,21 @@
         safe = error.outcome is Outcome.NOT_RUN or request.repeatable
         if not safe or error.kind not in _OTHER_UPSTREAM_MAY_HELP:
             return False
-        return await _ask_retry(self._router)
+        return await _ask_retry(self._router, self._metrics, error)
 
 
 class _GenerationRun:
     """Hold the state of one generation over its attempts."""
 
-    def __init__(self, request: Generation, router: Mailbox[Any], clock: Clock) -> None:
+    def __init__(
+        self,
+        request: Generation,
+        router: Mailbox[Any],
+        clock: Clock,
+        metrics: EntryMetrics,
+    ) -> None:
         self._request = request
+        self._metrics = metrics
         self._router = router
         self._clock = clock
         self._assembler = AnswerAssembler()
@@ -165,7 +174,7 @@
             self._excluded |= {picked.upstream}
             if self._error.kind not in _OTHER_UPSTREAM_MAY_HELP:
                 break
-            if not await _ask_retry(self._router):
+            if not await _ask_retry(self._router, self._metrics, self._error):
                 break
         yield self._error
 
@@ -244,7 +253,12 @@
     return RequestError(ErrorKind.INTERNAL)
 
 
-async def _ask_retry(router: Mailbox[Any]) -> bool:
+async def _ask_retry(
+    router: Mailbox[Any], metrics: EntryMetrics, cause: RequestError
+) -> bool:
     reply: Reply[bool] = Reply()
     router.post(AskRetry(reply))
-    return await reply.wait()
+    allowed = await reply.wait()
+    if allowed:
+        metrics.retried(cause.kind)
+    return allowed
--- a/packages/entry/src/sardineyard/entry/completions.py
+++ b/packages/entry/src/sardineyard/entry/completions.py
@@ -25,9 +25,10 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
-    from sardineyard.core.ids import RequestId, TeamId
+    from sardineyard.core.ids import TeamId
     from sardineyard.entry.admission import Admitted
     from sardineyard.entry.attempts import Attempts
+    from sardineyard.entry.observe import RequestObserver
     from sardineyard.entry.openai import Completion
     from sardineyard.httpio.exchange import Exchange
     from sardineyard.httpio.messages import HttpRequest
@@ -48,7 +49,7 @@
         self,
         request: HttpRequest,
         exchange: Exchange,
-        request_id: RequestId,
+        observer: RequestObserver,
         admitted: Admitted,
         kind: type[Completion],
     ) -> RequestError | None:
@@ -59,7 +60,7 @@
             case Failure(error):
                 return error
         generation = Generation(
-            request_id=request_id,
+            request_id=observer.request_id,
             team=admitted.team.id,
             priority=admitted.priority.name,
             model=ModelName(completion.model),
@@ -69,35 +70,45 @@
             fingerprint=fingerprint_of(admitted.team.id, request.path, request.body),
         )
         renderer = Renderer(
-            request_id,
+            observer.request_id,
             completion.model,
             int(self._clock.wall()),
             is_chat=isinstance(completion, ChatBody),
         )
         if completion.stream:
-            return await self._stream(generation, renderer, exchange)
-        return await self._whole(generation, renderer, exchange)
+            return await self._stream(generation, renderer, exchange, observer)
+        return await self._whole(generation, renderer, exchange, observer)
 
     async def _whole(
-        self, generation: Generation, renderer: Renderer, exchange: Exchange
+        self,
+        generation: Generation,
+        renderer: Renderer,
+        exchange: Exchange,
+        observer: RequestObserver,
     ) -> RequestError | None:
         tokens: list[str] = []
         async with aclosing(self._attempts.generate(generation)) as steps:
             async for step in steps:
                 if isinstance(step, Tokens):
                     tokens.extend(step.tokens)
+                    observer.tokens(len(step.tokens))
                 elif isinstance(step, Finished):
                     body = renderer.whole(
                         "".join(tokens), step.end.reason.value, len(tokens)
                     )
                     headers = {"content-type": "application/json"}
                     await exchange.send(200, headers, body)
+                    observer.completed()
                 else:
                     return step
         return None
 
     async def _stream(
-        self, generation: Generation, renderer: Renderer, exchange: Exchange
+        self,
+        generation: Generation,
+        renderer: Renderer,
+        exchange: Exchange,
+        observer: RequestObserver,
     ) -> RequestError | None:
         async with aclosing(self._attempts.generate(generation)) as steps:
             async for step in steps:
@@ -107,11 +118,14 @@
                     await exchange.start(200, _EVENT_STREAM)
                 if isinstance(step, Tokens):
                     await exchange.write(renderer.chunk("".join(step.tokens)))
+                    observer.tokens(len(step.tokens))
                 elif isinstance(step, Finished):
                     last = renderer.chunk("", step.end.reason.value)
                     await exchange.write(last + DONE_EVENT)
                     await exchange.finish()
+                    observer.completed()
                 else:
+                    observer.failed(step)
                     await self._break_off(step, generation, exchange)
         return None
 
--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -10,25 +10,30 @@
 from sardineyard.configsync.follower import ConfigFollower
 from sardineyard.configsync.peer_service import PeerService
 from sardineyard.core.mailbox import Reply
-from sardineyard.core.states import ProcessState
+from sardineyard.core.states import ProcessState, UpstreamState
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
+from sardineyard.daemon.observe import document_in_force, measure_process
 from sardineyard.entry.attempts import Attempts
 from sardineyard.entry.completions import CompletionFront
 from sardineyard.entry.directory import Directory
 from sardineyard.entry.front import CallerFront
 from sardineyard.entry.messages import DumpRouter
+from sardineyard.entry.observe import team_views
 from sardineyard.entry.router import Router
 from sardineyard.entry.services import ServiceFront
 from sardineyard.httpio.messages import HttpLimits
 from sardineyard.httpio.server import HttpServer
+from sardineyard.telemetry.metrics import EntryMetrics
+from sardineyard.telemetry.state import EntryDump
 from sardineyard.wire.control import Hello
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
     from sardineyard.core.mailbox import Mailbox
     from sardineyard.settings.processes import EntrySettings
+    from sardineyard.telemetry.state import UpstreamView
 
 
 class EntryDaemon:
@@ -45,17 +50,21 @@
             self._identity.incarnation,
             self._identity.failure_domain,
         )
-        self._router = Router(hello, clock, Random())
+        self._clock = clock
+        self._started = clock.now()
+        self._measured = EntryMetrics(settings.process)
+        self._router = Router(hello, clock, Random(), self._measured)
         subscribers: list[Mailbox[Any]] = [self._router.mailbox]
         self._follower = ConfigFollower(
             settings.platform_address, Random(), subscribers
         )
-        attempts = Attempts(self._router.mailbox, clock)
+        attempts = Attempts(self._router.mailbox, clock, self._measured)
         self._front = CallerFront(
             self._directory,
             self._is_draining,
             CompletionFront(attempts, clock),
             ServiceFront(attempts),
+            self._measured,
             self._metrics,
             clock,
         )
@@ -122,18 +131,29 @@
             self._state is ProcessState.SERVING and self._follower.current is not None
         )
 
-    async def _dump(self) -> object:
-        current = self._follower.current
-        reply: Reply[dict[str, object]] = Reply()
+    async def _dump(self) -> EntryDump:
+        requests = self._front.request_views
+        return EntryDump(
+            process=self._identity.process,
+            incarnation=self._identity.incarnation,
+            failure_domain=self._identity.failure_domain,
+            state=self._state,
+            uptime_s=self._clock.now() - self._started,
+            document=document_in_force(self._follower.current),
+            tasks=tuple(self._tasks.names),
+            teams=team_views(requests),
+            requests=requests,
+            upstreams=await self._upstreams(),
+        )
+
+    async def _upstreams(self) -> tuple[UpstreamView, ...]:
+        reply: Reply[tuple[UpstreamView, ...]] = Reply()
         self._router.mailbox.post(DumpRouter(reply))
-        return {
-            "process": self._identity.process,
-            "incarnation": self._identity.incarnation,
-            "state": self._state,
-            "document_version": current.order.version if current else None,
-            "open_requests": self._front.open_requests,
-            "router": await reply.wait(),
-        }
-
-    def _metrics(self) -> tuple[dict[str, str], bytes]:
-        return {"content-type": "text/plain"}, b""
+        return await reply.wait()
+
+    async def _metrics(self) -> tuple[dict[str, str], bytes]:
+        measure_process(self._measured, self._state, self._follower.current)
+        states = [view.state for view in await self._upstreams()]
+        for state in UpstreamState:
+            self._measured.upstreams(state, states.count(state))
+        return self._measured.render()
--- a/packages/entry/src/sardineyard/entry/front.py
+++ b/packages/entry/src/sardineyard/entry/front.py
@@ -14,19 +14,24 @@
 from sardineyard.core.ids import RequestId
 from sardineyard.daemon.admin import respond
 from sardineyard.entry.admission import admit
+from sardineyard.entry.observe import RequestObserver
 from sardineyard.entry.openai import ChatBody, TextBody
 from sardineyard.entry.problems import send_problem
+from sardineyard.telemetry.labels import TeamClass
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sardineyard.core.clock import Clock
+    from sardineyard.daemon.admin import MetricsPage
     from sardineyard.entry.completions import CompletionFront
     from sardineyard.entry.directory import Directory
     from sardineyard.entry.openai import Completion
     from sardineyard.entry.services import ServiceFront
     from sardineyard.httpio.exchange import Exchange
     from sardineyard.httpio.messages import HttpRequest
+    from sardineyard.telemetry.metrics import EntryMetrics
+    from sardineyard.telemetry.state import RequestView
 
 _logger = logging.getLogger(__name__)
 
@@ -46,7 +51,8 @@
         is_draining: Callable[[], bool],
         completions: CompletionFront,
         services: ServiceFront,
-        metrics: Callable[[], tuple[dict[str, str], bytes]],
+        metrics: EntryMetrics,
+        metrics_page: MetricsPage,
         clock: Clock,
     ) -> None:
         self._directory = directory
@@ -54,8 +60,9 @@
         self._completions = completions
         self._services = services
         self._metrics = metrics
+        self._metrics_page = metrics_page
         self._clock = clock
-        self._open: set[RequestId] = set()
+        self._open: dict[RequestId, RequestObserver] = {}
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -64,16 +71,24 @@
         """Return the ids of the requests in progress."""
         return sorted(self._open)
 
+    @property
+    def request_views(self) -> tuple[RequestView, ...]:
+        """Return the requests in progress for the state dump."""
+        views = (observer.view() for observer in self._open.values())
+        return tuple(view for view in views if view is not None)
+
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Answer one request."""
-        if await respond(request, exchange, self._is_ready, None, self._metrics):
+        if await respond(request, exchange, self._is_ready, None, self._metrics_page):
             return
         request_id = RequestId(uuid4().hex)
-        self._open.add(request_id)
+        observer = RequestObserver(request_id, self._metrics, self._clock)
+        self._open[request_id] = observer
         self._idle.clear()
         try:
-            error = await self._dispatch(request, exchange, request_id)
+            error = await self._dispatch(request, exchange, observer)
             if error is not None:
+                observer.failed(error)
                 _logger.info(
                     "request refused",
                     extra={
@@ -84,7 +99,8 @@
                 )
                 await send_problem(exchange, error, request_id)
         finally:
-            self._open.discard(request_id)
+            observer.ended()
+            del self._open[request_id]
             if not self._open:
                 self._idle.set()
 
@@ -94,13 +110,16 @@
 
     async def refuse(self, kind: ErrorKind, detail: str, exchange: Exchange) -> None:
         """Answer a request that could not be read."""
-        await send_problem(exchange, RequestError(kind, detail))
+        error = RequestError(kind, detail)
+        self._metrics.request_started()
+        self._metrics.request_ended(None, TeamClass.NONE, error)
+        await send_problem(exchange, error)
 
     def _is_ready(self) -> bool:
         return self._directory() is not None and not self._is_draining()
 
     async def _dispatch(
-        self, request: HttpRequest, exchange: Exchange, request_id: RequestId
+        self, request: HttpRequest, exchange: Exchange, observer: RequestObserver
     ) -> RequestError | None:
         directory = self._directory()
         if self._is_draining():
@@ -109,7 +128,7 @@
             return RequestError(ErrorKind.NOT_READY)
         match admit(request, directory, self._clock):
             case Success(admitted):
-                pass
+                observer.admitted(admitted)
             case Failure(error):
                 return error
         path = request.path
@@ -117,14 +136,15 @@
             if request.method != "POST":
                 return RequestError(ErrorKind.METHOD_NOT_ALLOWED, "use POST")
             return await self._completions.handle(
-                request, exchange, request_id, admitted, _COMPLETIONS[path]
+                request, exchange, observer, admitted, _COMPLETIONS[path]
             )
         if path.startswith(_SERVICES):
             return await self._services.handle(
-                request, exchange, request_id, admitted, directory
+                request, exchange, observer, admitted, directory
             )
         if path == "/v1/models" and request.method == "GET":
             await _send_models(exchange, directory)
+            observer.completed()
             return None
         return RequestError(ErrorKind.NOT_FOUND, path)
 
--- a/packages/entry/src/sardineyard/entry/messages.py
+++ b/packages/entry/src/sardineyard/entry/messages.py
@@ -17,6 +17,7 @@
         LoadReport,
         ServiceCall,
     )
+    from sardineyard.telemetry.state import UpstreamView
     from sardineyard.wire import session_pb2 as pb
 
 SessionNumber = NewType("SessionNumber", int)
@@ -126,4 +127,4 @@
 class DumpRouter:
     """Ask the router for its state."""
 
-    reply: Reply[dict[str, object]]
+    reply: Reply[tuple[UpstreamView, ...]]
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -15,6 +15,7 @@
 from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.requests import Generation, ServiceCall
+from sardineyard.core.states import UpstreamState
 from sardineyard.entry.agent_link import AgentLink
 from sardineyard.entry.messages import (
     AskRetry,
@@ -26,6 +27,7 @@
     Pick,
     PickUpstream,
 )
+from sardineyard.telemetry.state import UpstreamView
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -34,6 +36,7 @@
     from returns.result import Result
 
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import Incarnation, ServiceName, UpstreamId
     from sardineyard.core.requests import LoadReport
     from sardineyard.document.model import Service, Upstream
@@ -64,11 +67,18 @@
 class Router:
     """Choose upstreams by power of two choices and own the links to their agents."""
 
-    def __init__(self, hello: Hello, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        clock: Clock,
+        random: Random,
+        meter: ControlMeter,
+    ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._hello = hello
         self._clock = clock
         self._random = random
+        self._meter = meter
         self._known: dict[UpstreamId, _Known] = {}
         self._services: dict[ServiceName, Service] = {}
         self._retry_tokens = _MAX_RETRY_TOKENS
@@ -155,20 +165,7 @@
 
     @_handle.register(DumpRouter)
     def _dump(self, message: DumpRouter) -> None:
-        message.reply.send(
-            {
-                "retry_tokens": self._retry_tokens,
-                "upstreams": [
-                    {
-                        "upstream": known.upstream.id,
-                        "incarnation": known.incarnation,
-                        "usable": known.usable,
-                        "in_flight": known.in_flight,
-                    }
-                    for known in self._known.values()
-                ],
-            }
-        )
+        message.reply.send(tuple(_view(known) for known in self._known.values()))
 
     def _add(self, upstream: Upstream) -> None:
         link = AgentLink(
@@ -178,6 +175,7 @@
             self.mailbox,
             self._clock,
             self._random,
+            self._meter,
         )
         task = asyncio.get_running_loop().create_task(
             link.run(), name=f"agent-link-{upstream.id}"
@@ -221,3 +219,20 @@
         service = self._services.get(request.service)
         upstreams = service.upstreams if service else ()
         return [self._known[name] for name in upstreams if name in self._known]
+
+
+def _view(known: _Known) -> UpstreamView:
+    load = known.load
+    if known.incarnation is None:
+        state = UpstreamState.SUSPECT
+    else:
+        state = UpstreamState.LIVE if known.usable else UpstreamState.LEAVING
+    return UpstreamView(
+        upstream=known.upstream.id,
+        state=state,
+        in_flight=known.in_flight,
+        connected=known.incarnation is not None,
+        incarnation=known.incarnation,
+        queued=load.queued if load else 0,
+        running=load.running if load else 0,
+    )
--- a/packages/entry/src/sardineyard/entry/services.py
+++ b/packages/entry/src/sardineyard/entry/services.py
@@ -12,10 +12,10 @@
 from sardineyard.entry.completions import fingerprint_of
 
 if TYPE_CHECKING:
-    from sardineyard.core.ids import RequestId
     from sardineyard.entry.admission import Admitted
     from sardineyard.entry.attempts import Attempts
     from sardineyard.entry.directory import Directory
+    from sardineyard.entry.observe import RequestObserver
     from sardineyard.httpio.exchange import Exchange
     from sardineyard.httpio.messages import HttpRequest
 
@@ -32,7 +32,7 @@
         self,
         request: HttpRequest,
         exchange: Exchange,
-        request_id: RequestId,
+        observer: RequestObserver,
         admitted: Admitted,
         directory: Directory,
     ) -> RequestError | None:
@@ -48,7 +48,7 @@
         if not repeatable and not key:
             return RequestError(ErrorKind.KEY_REQUIRED)
         call = ServiceCall(
-            request_id=request_id,
+            request_id=observer.request_id,
             team=admitted.team.id,
             priority=admitted.priority.name,
             service=ServiceName(name),
@@ -69,6 +69,7 @@
                 if answer.replayed:
                     headers["idempotency-replayed"] = "true"
                 await exchange.send(answer.status, headers, answer.body)
+                observer.completed()
             case Failure(error):
                 return error
         return None
--- a/packages/entry/src/sardineyard/entry/session.py
+++ b/packages/entry/src/sardineyard/entry/session.py
@@ -8,12 +8,14 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.entry.messages import (
     FrameReceived,
     SessionLost,
     SessionOpened,
 )
+from sardineyard.wire.control import Ping
 from sardineyard.wire.entry_frames import to_frame
 from sardineyard.wire.session_grpc import AgentStub
 
@@ -22,6 +24,7 @@
 
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.entry.messages import (
         SessionNumber,
     )
@@ -39,13 +42,19 @@
     """Own one connection to an agent and pass messages both ways."""
 
     def __init__(
-        self, number: SessionNumber, address: Address, link: Mailbox[Any], clock: Clock
+        self,
+        number: SessionNumber,
+        address: Address,
+        link: Mailbox[Any],
+        clock: Clock,
+        meter: ControlMeter,
     ) -> None:
         self.outbox: Mailbox[EntryMessage] = Mailbox()
         self._number = number
         self._address = address
         self._link = link
         self._clock = clock
+        self._meter = meter
 
     async def run(self, hello: Hello) -> None:
         """Open the session, serve it and report its end to the link."""
@@ -54,7 +63,7 @@
         try:
             async with AgentStub(channel).Session.open() as stream:
                 async with asyncio.timeout(_OPEN_TIMEOUT_S):
-                    await stream.send_message(to_frame(hello, self._clock))
+                    await stream.send_message(self._control_frame(hello))
                 await self._serve(stream)
         except _FAILURES as error:
             reason = f"{type(error).__name__}: {error}"
@@ -80,5 +89,17 @@
     async def _send(self, stream: Stream[pb.EntryFrame, pb.AgentFrame]) -> None:
         while True:
             message = await self.outbox.receive()
+            frame = (
+                self._control_frame(message)
+                if isinstance(message, Ping)
+                else to_frame(message, self._clock)
+            )
             async with asyncio.timeout(_SEND_TIMEOUT_S):
-                await stream.send_message(to_frame(message, self._clock))
+                await stream.send_message(frame)
+
+    def _control_frame(self, message: EntryMessage) -> pb.EntryFrame:
+        frame = to_frame(message, self._clock)
+        self._meter.control_message(
+            ControlChannel.SESSION, Direction.SENT, frame.ByteSize()
+        )
+        return frame
--- a/packages/standins/src/sardineyard/standins/fleet.py
+++ b/packages/standins/src/sardineyard/standins/fleet.py
@@ -171,8 +171,8 @@
         """Wait until an entry has a session with a number of agents."""
 
         async def is_linked() -> bool:
-            table = (await self.state(entry))["router"]["upstreams"]
-            return sum(row["usable"] for row in table) >= upstreams
+            table = (await self.state(entry))["upstreams"]
+            return sum(row["state"] == "live" for row in table) >= upstreams
 
         await self._poll(is_linked)
 
--- a/packages/telemetry/src/sardineyard/telemetry/labels.py
+++ b/packages/telemetry/src/sardineyard/telemetry/labels.py
@@ -20,25 +20,6 @@
     NONE = "none"
 
 
-@unique
-class ControlChannel(Enum):
-    """Name the kinds of control traffic, which is all traffic but callers' work."""
-
-    SESSION = "session"
-    PEER = "peer"
-    PLATFORM = "platform"
-    LEASE = "lease"
-    GROUP = "group"
-
-
-@unique
-class Direction(Enum):
-    """Say which way a control message went."""
-
-    SENT = "sent"
-    RECEIVED = "received"
-
-
 def team_class(weight: float) -> TeamClass:
     """Return the class of a team with this weight."""
     if weight < _STANDARD_WEIGHT:
--- a/packages/telemetry/src/sardineyard/telemetry/metrics.py
+++ b/packages/telemetry/src/sardineyard/telemetry/metrics.py
@@ -10,12 +10,10 @@
 from sardineyard.telemetry.labels import TeamClass
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
+    from sardineyard.core.control import ControlChannel, Direction
     from sardineyard.core.errors import ErrorKind, RequestError
     from sardineyard.core.ids import GroupId, PriorityName
     from sardineyard.core.states import ProcessState, UpstreamState
-    from sardineyard.telemetry.labels import ControlChannel, Direction
 
 # Bounds in seconds. They bracket the 0.96 s target for the first token.
 _WAIT_BUCKETS = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.96, 2.0, 5.0, 20.0, 60.0]
@@ -73,10 +71,10 @@
         """Count one pause of the event loop."""
         self._pauses.inc({})
 
-    def render(self, accept: Sequence[str] = ()) -> tuple[bytes, str]:
-        """Return the metrics and their content type for an Accept header."""
-        body, headers = render(self._registry, tuple(accept))
-        return body, str(headers["Content-Type"])
+    def render(self) -> tuple[dict[str, str], bytes]:
+        """Return the headers and the body of a response in the text format."""
+        body, headers = render(self._registry, ())
+        return {"content-type": str(headers["Content-Type"])}, body
 
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f"sardineyard_{name}", doc, self._labels, self._registry)
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -116,6 +116,8 @@
 
     upstream: UpstreamId
     slots: int
+    running: int = 0
+    queued: int = 0
     queues: tuple[QueueView, ...] = ()
     lease_held: bool = False
     lease_remaining_s: float = 0.0
--- a/packages/telemetry/tests/test_metrics.py
+++ b/packages/telemetry/tests/test_metrics.py
@@ -22,9 +22,9 @@
     for error in (None, RequestError(kind), RequestError(kind)):
         entry_metrics.request_started()
         entry_metrics.request_ended(PriorityName("lookup"), TeamClass.HEAVY, error)
-    body, content_type = entry_metrics.render()
+    headers, body = entry_metrics.render()
     text = body.decode()
-    assert content_type.startswith("text/plain")
+    assert headers["content-type"].startswith("text/plain")
     assert (
         'sardineyard_requests_total{kind="upstream_lost",outcome="unknown",'
         'priority="lookup",process="entry-1",team_class="heavy"} 2' in text
@@ -39,7 +39,7 @@
     """Guards against bounds that cannot tell whether the 0.96 s target was met."""
     entry_metrics.first_token(PriorityName("lookup"), 0.95)
     entry_metrics.first_token(PriorityName("lookup"), 0.97)
-    text = entry_metrics.render()[0].decode()
+    text = entry_metrics.render()[1].decode()
     assert 'le="0.96",priority="lookup",process="entry-1"} 1' in text
     assert 'le="2.0",priority="lookup",process="entry-1"} 2' in text
 
