--- a/packages/entry/src/sardineyard/entry/observe.py
+++ b/packages/entry/src/sardineyard/entry/observe.py
@@ -44,7 +44,6 @@
         if self._tokens == 0:
             self._metrics.first_token(priority, self._age())
         self._tokens += count
-        self._metrics.tokens_delivered(priority, count)
 
     def completed(self) -> None:
         """Record that the caller got its whole answer."""
@@ -61,6 +60,9 @@
             self._metrics.request_ended(None, TeamClass.NONE, self._error)
             return
         priority = admitted.priority.name
+        # Counted once at the end: a counter costs 5 microseconds a call, which is 4%
+        # of a core at 8,000 tokens/s.
+        self._metrics.tokens_delivered(priority, self._tokens)
         team = team_class(admitted.team.weight)
         self._metrics.request_ended(priority, team, self._error)
         if self._error is None:
