--- a/packages/agent/src/sardineyard/agent/session.py
+++ b/packages/agent/src/sardineyard/agent/session.py
@@ -15,6 +15,7 @@
     SessionClosed,
     Submit,
 )
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.core.requests import Generation, ServiceCall
 from sardineyard.wire import session_pb2 as pb
@@ -29,6 +30,7 @@
         SessionId,
     )
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import Incarnation, UpstreamId
 
 _logger = logging.getLogger(__name__)
@@ -38,6 +40,7 @@
 # Events that arrive within this time of the last frame travel in one frame. This
 # bounds the frames of a busy session at 250 a second.
 _FLUSH_INTERVAL_S = 0.004
+_CONTROL_EVENTS = frozenset({"welcome", "pong"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,12 +60,14 @@
         scheduler: Mailbox[Any],
         key_owner: Mailbox[Any],
         clock: Clock,
+        meter: ControlMeter,
     ) -> None:
         self._number = number
         self._stream = stream
         self._scheduler = scheduler
         self._key_owner = key_owner
         self._clock = clock
+        self._meter = meter
         self._outbox: Mailbox[Any] = Mailbox(_OUTBOX_CAPACITY)
         self._flushing: list[_Flush] = []
         self._is_ended = False
@@ -74,6 +79,8 @@
         try:
             async for frame in self._stream:
                 message = from_frame(frame, self._clock)
+                if isinstance(message, (Hello, Ping)):
+                    self._count(Direction.RECEIVED, frame.ByteSize())
                 if message is not None:
                     await self._handle(message)
         finally:
@@ -140,10 +147,16 @@
                 self._flushing.append(message)
             else:
                 events.append(to_event(message))
+        for event in events:
+            if event.WhichOneof("event") in _CONTROL_EVENTS:
+                self._count(Direction.SENT, event.ByteSize())
         if events:
             await self._stream.send_message(pb.AgentFrame(events=events))
         self._answer_flushes()
 
+    def _count(self, direction: Direction, size: int) -> None:
+        self._meter.control_message(ControlChannel.SESSION, direction, size)
+
     def _answer_flushes(self) -> None:
         for flush in self._flushing:
             flush.reply.send(None)
--- a/packages/entry/src/sardineyard/entry/router_client.py
+++ b/packages/entry/src/sardineyard/entry/router_client.py
@@ -16,6 +16,7 @@
     from sardineyard.core.mailbox import Mailbox
     from sardineyard.core.requests import Generation, ServiceCall
     from sardineyard.entry.messages import AttemptEnded, Pick
+    from sardineyard.telemetry.metrics import EntryMetrics
 
 MAX_ATTEMPTS = 4
 
@@ -36,8 +37,9 @@
 class RouterClient:
     """Ask the router by messages and wait for its replies."""
 
-    def __init__(self, mailbox: Mailbox[Any]) -> None:
+    def __init__(self, mailbox: Mailbox[Any], metrics: EntryMetrics) -> None:
         self._mailbox = mailbox
+        self._metrics = metrics
 
     async def pick(
         self, request: Generation | ServiceCall, excluded: frozenset[UpstreamId]
@@ -47,11 +49,14 @@
         self._mailbox.post(PickUpstream(request, reply, excluded))
         return await reply.wait()
 
-    async def may_retry(self) -> bool:
-        """Return whether the retry budget allows another attempt."""
+    async def may_retry(self, cause: RequestError) -> bool:
+        """Return whether the retry budget allows another attempt after an error."""
         reply: Reply[bool] = Reply()
         self._mailbox.post(AskRetry(reply))
-        return await reply.wait()
+        allowed = await reply.wait()
+        if allowed:
+            self._metrics.retried(cause.kind)
+        return allowed
 
     def ended(self, attempt: AttemptEnded) -> None:
         """Report how an attempt ended."""
--- a/packages/entry/src/sardineyard/entry/service_run.py
+++ b/packages/entry/src/sardineyard/entry/service_run.py
@@ -81,4 +81,4 @@
         safe = error.outcome is Outcome.NOT_RUN or self._request.repeatable
         if not safe or error.kind not in OTHER_UPSTREAM_MAY_HELP:
             return False
-        return await self._router.may_retry()
+        return await self._router.may_retry(error)
