--- /dev/null
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -0,0 +1,160 @@
+"""The agent daemon: its tasks and how they are connected."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from grpclib.server import Server
+
+from sardineyard.agent.key_owner import KeyOwner
+from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
+from sardineyard.agent.scheduler import Scheduler
+from sardineyard.agent.service import AgentService
+from sardineyard.configsync.members import PeerMember
+from sardineyard.configsync.sync import ConfigSync
+from sardineyard.core.ids import UpstreamId
+from sardineyard.core.mailbox import Reply
+from sardineyard.core.states import ProcessState, UpstreamKind
+from sardineyard.core.tasks import TaskSet
+from sardineyard.daemon.admin import AdminServer
+from sardineyard.daemon.identity import identify
+from sardineyard.daemon.observe import document_in_force, measure_process
+from sardineyard.httpio.pool import ConnectionPool
+from sardineyard.runner import ModelRunner, PlainService
+from sardineyard.telemetry.metrics import AgentMetrics
+from sardineyard.telemetry.state import AgentDump
+
+if TYPE_CHECKING:
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.requests import LoadReport
+    from sardineyard.runner import Runner
+    from sardineyard.settings.processes import AgentSettings
+    from sardineyard.telemetry.state import QueueView
+
+
+class AgentDaemon:
+    """Run the tasks of one agent."""
+
+    def __init__(self, settings: AgentSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._identity = identify(settings, clock)
+        self._state = ProcessState.STARTING
+        self._tasks = TaskSet()
+        self._clock = clock
+        self._started = clock.now()
+        self._measured = AgentMetrics(settings.process)
+        self._pool = ConnectionPool(settings.upstream_address)
+        upstream = UpstreamId(settings.upstream)
+        incarnation = self._identity.incarnation
+        self._scheduler = Scheduler(
+            upstream, incarnation, self._runner(), clock, self._measured
+        )
+        self._key_owner = KeyOwner(self._scheduler.mailbox)
+        self._sync = ConfigSync(
+            PeerMember(
+                self._identity.process,
+                self._identity.advertised_address,
+                incarnation,
+                self._identity.failure_domain,
+                clock.now(),
+            ),
+            settings.platform_address,
+            settings.seed_peers,
+            clock,
+            Random(),
+        )
+        self._sync.subscribe(self._scheduler.mailbox)
+        self._service = AgentService(
+            upstream,
+            incarnation,
+            self._scheduler.mailbox,
+            self._key_owner.mailbox,
+            clock,
+            self._measured,
+        )
+        self._server = Server(
+            [
+                self._service,
+                self._sync.service,
+            ]
+        )
+        self._admin = AdminServer(
+            settings.admin_address, self._is_ready, self._dump, self._metrics
+        )
+
+    async def start(self) -> None:
+        """Start the tasks and listen."""
+        self._tasks.start("scheduler", self._scheduler.run())
+        self._tasks.start("key-owner", self._key_owner.run())
+        address = self._settings.peer_address
+        await self._server.start(address.host, address.port)
+        self._sync.start(self._tasks)
+        await self._admin.start()
+        self._state = ProcessState.SERVING
+
+    async def drain(self) -> None:
+        """Refuse new work and return when the open work has ended."""
+        self._state = ProcessState.DRAINING
+        reply: Reply[None] = Reply()
+        self._scheduler.mailbox.post(Drain(reply))
+        await reply.wait()
+        # The last events of the calls may still wait in the sessions.
+        await self._service.flush()
+
+    async def close(self) -> list[str]:
+        """End all tasks and return the ids of the requests that were cut."""
+        cut = [str(request) for request in self._scheduler.open_requests]
+        self._server.close()
+        await self._server.wait_closed()
+        await self._admin.close()
+        await self._tasks.cancel_all()
+        self._pool.close()
+        return cut
+
+    async def wait_failed(self) -> None:
+        """Return when a task has failed."""
+        await self._tasks.wait_failed()
+
+    def _runner(self) -> Runner:
+        if self._settings.upstream_kind is UpstreamKind.MODEL_RUNNER:
+            return ModelRunner(self._pool)
+        return PlainService(self._pool)
+
+    def _is_ready(self) -> bool:
+        return self._state is ProcessState.SERVING and self._sync.current is not None
+
+    async def _dump(self) -> AgentDump:
+        load = await self._load()
+        return AgentDump(
+            process=self._identity.process,
+            incarnation=self._identity.incarnation,
+            failure_domain=self._identity.failure_domain,
+            state=self._state,
+            uptime_s=self._clock.now() - self._started,
+            document=document_in_force(self._sync.current),
+            tasks=tuple(self._tasks.names),
+            upstream=load.upstream,
+            slots=load.slots,
+            running=load.running,
+            queued=load.queued,
+            queues=await self._queues(),
+            config=await self._sync.dump(),
+        )
+
+    async def _load(self) -> LoadReport:
+        reply: Reply[LoadReport] = Reply()
+        self._scheduler.mailbox.post(ReadLoad(reply))
+        return await reply.wait()
+
+    async def _queues(self) -> tuple[QueueView, ...]:
+        reply: Reply[tuple[QueueView, ...]] = Reply()
+        self._scheduler.mailbox.post(ReadQueues(reply))
+        return await reply.wait()
+
+    async def _metrics(self) -> tuple[dict[str, str], bytes]:
+        measure_process(self._measured, self._state, self._sync.current)
+        for queue in await self._queues():
+            self._measured.queued(queue.priority, queue.queued)
+        self._measured.running((await self._load()).running)
+        return self._measured.render()
--- /dev/null
+++ b/packages/configsync/src/sardineyard/configsync/peer_service.py
@@ -0,0 +1,84 @@
+"""The gRPC service through which processes learn about each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from sardineyard.configsync.dialing import identify
+from sardineyard.configsync.messages import DocumentRequested, PeerCalled
+from sardineyard.core.address import parse_address
+from sardineyard.core.mailbox import Reply
+from sardineyard.wire import peer_pb2 as pb
+from sardineyard.wire.peer_grpc import PeerBase
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    from sardineyard.configsync.messages import DocumentAdopted
+    from sardineyard.core.ids import Incarnation, ProcessId
+    from sardineyard.core.mailbox import Mailbox
+
+
+class PeerService(PeerBase):
+    """Answer other processes about identity and the document in force."""
+
+    def __init__(
+        self,
+        process: ProcessId,
+        incarnation: Incarnation,
+        follower: Mailbox[Any],
+        exchange: Mailbox[Any],
+    ) -> None:
+        self._process = process
+        self._incarnation = incarnation
+        self._follower = follower
+        self._exchange = exchange
+
+    async def Exchange(self, stream: Stream[pb.PeerState, pb.PeerState]) -> None:  # noqa: N802
+        """Take the state of a peer and answer with the own one."""
+        state = await stream.recv_message()
+        if state is None:
+            return
+        reply: Reply[pb.PeerState] = Reply()
+        self._exchange.post(PeerCalled(state, reply))
+        await stream.send_message(await reply.wait())
+
+    async def FetchDocument(  # noqa: N802
+        self, stream: Stream[pb.FetchDocumentRequest, pb.FetchDocumentReply]
+    ) -> None:
+        """Answer with the bytes of the document in force."""
+        await stream.recv_message()
+        reply: Reply[DocumentAdopted | None] = Reply()
+        self._follower.post(DocumentRequested(reply))
+        current = await reply.wait()
+        await stream.send_message(
+            pb.FetchDocumentReply(
+                version=current.order.version if current else 0,
+                document=current.raw if current else b"",
+            )
+        )
+
+    async def Identify(  # noqa: N802
+        self, stream: Stream[pb.IdentifyRequest, pb.IdentifyReply]
+    ) -> None:
+        """Answer with the process and its incarnation."""
+        await stream.recv_message()
+        await stream.send_message(
+            pb.IdentifyReply(process=self._process, incarnation=self._incarnation)
+        )
+
+    async def DialBack(  # noqa: N802
+        self, stream: Stream[pb.DialBackRequest, pb.DialBackReply]
+    ) -> None:
+        """Dial an address over a new connection and report who answers there."""
+        request = await stream.recv_message()
+        assert request is not None
+        reply = await identify(parse_address(request.address))
+        if reply is None:
+            await stream.send_message(pb.DialBackReply(reached=False))
+            return
+        await stream.send_message(
+            pb.DialBackReply(
+                reached=True, process=reply.process, incarnation=reply.incarnation
+            )
+        )
--- a/packages/core/src/sardineyard/core/states.py
+++ b/packages/core/src/sardineyard/core/states.py
@@ -28,3 +28,19 @@
 
     STOP = "stop"
     LENGTH = "length"
+
+
+@unique
+class UpstreamKind(Enum):
+    """Name the protocol that an upstream speaks."""
+
+    MODEL_RUNNER = "model_runner"
+    PLAIN_SERVICE = "plain_service"
+
+
+@unique
+class ProcessRole(Enum):
+    """Name what a process of the system does."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
--- a/packages/settings/src/sardineyard/settings/parsers.py
+++ b/packages/settings/src/sardineyard/settings/parsers.py
@@ -2,38 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from ipaddress import ip_address
+from typing import TYPE_CHECKING
 
+from sardineyard.core.address import parse_address as address
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Hold an IP address and a port."""
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-    host: str
-    port: int
+    from sardineyard.core.address import Address
 
-    def __str__(self) -> str:
-        """Return the address as host:port."""
-        return f"[{self.host}]:{self.port}" if ":" in self.host else self.hostport
 
-    @property
-    def hostport(self) -> str:
-        """Return the address without brackets."""
-        return f"{self.host}:{self.port}"
-
-
-def address(text: str) -> Address:
-    """Parse host:port, where the host is an IP address."""
-    host, separator, port = text.rpartition(":")
-    if not separator:
-        raise ValueError("no port")
-    host = host.removeprefix("[").removesuffix("]")
-    ip_address(host)
-    number = int(port)
-    if not 0 <= number <= 65535:
-        raise ValueError("the port is not between 0 and 65535")
-    return Address(host, number)
+def reachable_address(text: str) -> Address:
+    """Parse an address to which other processes can connect."""
+    value = address(text)
+    if ip_address(value.host).is_unspecified:
+        raise ValueError("stands for every address of the VM")
+    return value
 
 
 def addresses(text: str) -> tuple[Address, ...]:
@@ -56,3 +41,14 @@
     ):
         raise ValueError("empty or with characters other than letters, digits and ._-")
     return text
+
+
+def one_of(*allowed: str) -> Callable[[str], str]:
+    """Return the parser of a text that is one of several."""
+
+    def parse(text: str) -> str:
+        if text not in allowed:
+            raise ValueError("unknown value")
+        return text
+
+    return parse
