Change expert maps through the agents, with a stand-in of the ranks

Cause: the commit protocol was a library only; agents refused group orders.

Change: GroupParticipant and GroupCoordinator tasks in the agent, the Agent.Order RPC with typed maps and reports, the protocol of the ranks in the runner library, and a stand-in that runs the ranks of a group in lockstep and records the map of every rank in every step.

Tests with real processes, judged by that record.

GroupReply keeps its field 'accepted', which a test of wire uses.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -7,6 +7,9 @@
 
 from grpclib.server import Server
 
+from sardineyard.agent.group_coordinator import GroupCoordinator
+from sardineyard.agent.group_messages import ReadGroup
+from sardineyard.agent.group_participant import GroupParticipant
 from sardineyard.agent.key_owner import KeyOwner
 from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
 from sardineyard.agent.scheduler import Scheduler
@@ -22,6 +25,7 @@
 from sardineyard.daemon.observe import document_in_force, measure_process
 from sardineyard.httpio.pool import ConnectionPool
 from sardineyard.runner import ModelRunner, PlainService
+from sardineyard.runner.ranks import RankClient
 from sardineyard.telemetry.metrics import AgentMetrics
 from sardineyard.telemetry.state import AgentDump
 
@@ -30,7 +34,10 @@
     from sardineyard.core.requests import LoadReport
     from sardineyard.runner import Runner
     from sardineyard.settings.processes import AgentSettings
-    from sardineyard.telemetry.state import QueueView
+    from sardineyard.telemetry.state import GroupView, QueueView
+
+# A runner beside the agent answers in milliseconds; one that does not is lost.
+_RANKS_TIMEOUT_S = 1.0
 
 
 class AgentDaemon:
@@ -65,11 +72,21 @@
             Random(),
         )
         self._sync.subscribe(self._scheduler.mailbox)
+        self._coordinator = GroupCoordinator(upstream, clock, Random())
+        self._participant = GroupParticipant(
+            upstream,
+            RankClient(self._pool, _RANKS_TIMEOUT_S),
+            self._coordinator.mailbox,
+        )
+        self._coordinator.connect(self._participant.mailbox)
+        self._sync.subscribe(self._participant.mailbox)
+        self._sync.subscribe(self._coordinator.mailbox)
         self._service = AgentService(
             upstream,
             incarnation,
             self._scheduler.mailbox,
             self._key_owner.mailbox,
+            self._participant.mailbox,
             clock,
             self._measured,
         )
@@ -87,6 +104,8 @@
         """Start the tasks and listen."""
         self._tasks.start("scheduler", self._scheduler.run())
         self._tasks.start("key-owner", self._key_owner.run())
+        self._tasks.start("group-participant", self._participant.run())
+        self._tasks.start("group-coordinator", self._coordinator.run())
         address = self._settings.peer_address
         await self._server.start(address.host, address.port)
         self._sync.start(self._tasks)
@@ -109,6 +128,7 @@
         await self._server.wait_closed()
         await self._admin.close()
         await self._tasks.cancel_all()
+        self._coordinator.close()
         self._pool.close()
         return cut
 
@@ -139,6 +159,7 @@
             running=load.running,
             queued=load.queued,
             queues=await self._queues(),
+            groups=await self._groups(),
             config=await self._sync.dump(),
         )
 
@@ -147,6 +168,12 @@
         self._scheduler.mailbox.post(ReadLoad(reply))
         return await reply.wait()
 
+    async def _groups(self) -> tuple[GroupView, ...]:
+        reply: Reply[GroupView | None] = Reply()
+        self._coordinator.mailbox.post(ReadGroup(reply))
+        view = await reply.wait()
+        return () if view is None else (view,)
+
     async def _queues(self) -> tuple[QueueView, ...]:
         reply: Reply[tuple[QueueView, ...]] = Reply()
         self._scheduler.mailbox.post(ReadQueues(reply))
--- /dev/null
+++ b/packages/agent/src/sardineyard/agent/group_wire.py
@@ -0,0 +1,182 @@
+"""Conversion of group orders and replies to and from their wire messages."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from sardineyard.core.ids import (
+    ExpertIndex,
+    FencingNumber,
+    Incarnation,
+    RankIndex,
+    StepNumber,
+)
+from sardineyard.experts.maps import ExpertMap, MapVersion
+from sardineyard.experts.orders import (
+    Abort,
+    Change,
+    Commit,
+    Prepare,
+    Read,
+    Refusal,
+    RunnerState,
+)
+from sardineyard.experts.report import RankReport
+from sardineyard.wire import session_pb2 as pb
+
+if TYPE_CHECKING:
+    from sardineyard.agent.group_messages import GroupAnswer
+    from sardineyard.core.ids import (
+        GroupId,
+        UpstreamId,
+    )
+    from sardineyard.experts.orders import (
+        Order,
+    )
+
+
+def order_to_wire(order: Order, group: GroupId, asker: UpstreamId) -> pb.GroupOrder:
+    """Return the message of an order of one agent to another."""
+    message = _to_wire(order)
+    message.group = group
+    message.asker = asker
+    message.number = order.number
+    return message
+
+
+def order_from_wire(message: pb.GroupOrder) -> Order:
+    """Return the order of a message; raise ValueError when it is malformed."""
+    number = FencingNumber(message.number)
+    incarnation = Incarnation(message.incarnation)
+    if message.kind == pb.GroupOrder.READ:
+        return Read(number)
+    if message.kind == pb.GroupOrder.COMMIT:
+        return Commit(number, incarnation, MapVersion(message.map_version))
+    if message.kind == pb.GroupOrder.ABORT:
+        return Abort(number, incarnation, FencingNumber(message.target))
+    if not message.HasField("map"):
+        raise ValueError("an order to prepare needs a map")
+    base = _map_from_wire(message.base) if message.HasField("base") else None
+    new = _map_from_wire(message.map)
+    return Prepare(number, incarnation, new, StepNumber(message.step), base)
+
+
+def answer_to_wire(answer: GroupAnswer) -> pb.GroupReply:
+    """Return the message of an answer."""
+    refusal = answer.refusal.value if answer.refusal is not None else ""
+    report = _report_to_wire(answer.report) if answer.report is not None else None
+    return pb.GroupReply(accepted=not refusal, refusal=refusal, report=report)
+
+
+def answer_from_wire(
+    message: pb.GroupReply,
+) -> tuple[Refusal | None, RankReport | None]:
+    """Return the refusal and the report of a message."""
+    refusal = Refusal(message.refusal) if message.refusal else None
+    if not message.HasField("report"):
+        return refusal or Refusal.RUNNER_LOST, None
+    return refusal, _report_from_wire(message.report)
+
+
+@singledispatch
+def _to_wire(order: object) -> pb.GroupOrder:
+    raise TypeError(f"unknown order {type(order).__name__}")
+
+
+@_to_wire.register(Read)
+def _(order: Read) -> pb.GroupOrder:
+    return pb.GroupOrder(kind=pb.GroupOrder.READ)
+
+
+@_to_wire.register(Prepare)
+def _(order: Prepare) -> pb.GroupOrder:
+    return pb.GroupOrder(
+        kind=pb.GroupOrder.PREPARE,
+        incarnation=order.incarnation,
+        step=order.step,
+        map=_map_to_wire(order.map),
+        base=_map_to_wire(order.base) if order.base is not None else None,
+    )
+
+
+@_to_wire.register(Commit)
+def _(order: Commit) -> pb.GroupOrder:
+    return pb.GroupOrder(
+        kind=pb.GroupOrder.COMMIT,
+        incarnation=order.incarnation,
+        map_version=order.version,
+    )
+
+
+@_to_wire.register(Abort)
+def _(order: Abort) -> pb.GroupOrder:
+    return pb.GroupOrder(
+        kind=pb.GroupOrder.ABORT, incarnation=order.incarnation, target=order.target
+    )
+
+
+def _map_to_wire(value: ExpertMap) -> pb.RankMap:
+    ranks = [pb.RankExperts(experts=experts) for experts in value.ranks]
+    return pb.RankMap(version=value.version, ranks=ranks)
+
+
+def _map_from_wire(message: pb.RankMap) -> ExpertMap:
+    ranks = tuple(
+        tuple(ExpertIndex(expert) for expert in rank.experts) for rank in message.ranks
+    )
+    return ExpertMap(MapVersion(message.version), ranks)
+
+
+def _change_to_wire(change: Change | None) -> pb.MapChange | None:
+    if change is None:
+        return None
+    new = _map_to_wire(change.map)
+    return pb.MapChange(number=change.number, map=new, step=change.step)
+
+
+def _change_from_wire(message: pb.MapChange) -> Change:
+    return Change(
+        FencingNumber(message.number),
+        _map_from_wire(message.map),
+        StepNumber(message.step),
+    )
+
+
+def _report_to_wire(report: RankReport) -> pb.GroupReport:
+    state = report.state
+    return pb.GroupReport(
+        incarnation=state.incarnation,
+        promised=state.promised,
+        step=state.step,
+        in_use=_map_to_wire(state.in_use) if state.in_use is not None else None,
+        prepared=_change_to_wire(state.prepared),
+        decided=_change_to_wire(state.decided),
+        first_rank=report.first_rank,
+        busy_s=report.busy_s,
+        tokens=report.tokens,
+        expert_tokens=report.expert_tokens,
+        late=report.late,
+        lost=report.lost,
+    )
+
+
+def _report_from_wire(message: pb.GroupReport) -> RankReport:
+    has = message.HasField
+    state = RunnerState(
+        Incarnation(message.incarnation),
+        FencingNumber(message.promised),
+        StepNumber(message.step),
+        _map_from_wire(message.in_use) if has("in_use") else None,
+        _change_from_wire(message.prepared) if has("prepared") else None,
+        _change_from_wire(message.decided) if has("decided") else None,
+    )
+    return RankReport(
+        state,
+        RankIndex(message.first_rank),
+        tuple(message.busy_s),
+        tuple(message.tokens),
+        tuple(message.expert_tokens),
+        tuple(RankIndex(rank) for rank in message.late),
+        tuple(RankIndex(rank) for rank in message.lost),
+    )
--- a/packages/agent/src/sardineyard/agent/service.py
+++ b/packages/agent/src/sardineyard/agent/service.py
@@ -9,17 +9,22 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from sardineyard.agent.group_messages import OrderArrived
+from sardineyard.agent.group_wire import answer_to_wire, order_from_wire
 from sardineyard.agent.messages import SessionId
 from sardineyard.agent.session import Session
+from sardineyard.core.ids import GroupId, UpstreamId
+from sardineyard.core.mailbox import Reply
 from sardineyard.wire import session_pb2 as pb
 from sardineyard.wire.session_grpc import AgentBase
 
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
+    from sardineyard.agent.group_messages import GroupAnswer
     from sardineyard.core.clock import Clock
     from sardineyard.core.control import ControlMeter
-    from sardineyard.core.ids import Incarnation, UpstreamId
+    from sardineyard.core.ids import Incarnation
     from sardineyard.core.mailbox import Mailbox
 
 
@@ -32,6 +37,7 @@
         incarnation: Incarnation,
         scheduler: Mailbox[Any],
         key_owner: Mailbox[Any],
+        group: Mailbox[Any],
         clock: Clock,
         meter: ControlMeter,
     ) -> None:
@@ -39,6 +45,7 @@
         self._incarnation = incarnation
         self._scheduler = scheduler
         self._key_owner = key_owner
+        self._group = group
         self._clock = clock
         self._meter = meter
         self._numbers = itertools.count(1)
@@ -72,5 +79,15 @@
         await stream.send_message(pb.SurrenderReply())
 
     async def Order(self, stream: Stream[pb.GroupOrder, pb.GroupReply]) -> None:  # noqa: N802
-        """Refuse orders: this agent takes part in no group."""
-        raise GRPCError(Status.UNIMPLEMENTED, "no group is configured")
+        """Pass an order to the participant and send its answer."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        try:
+            order = order_from_wire(message)
+        except ValueError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        reply: Reply[GroupAnswer] = Reply()
+        group, asker = GroupId(message.group), UpstreamId(message.asker)
+        self._group.post(OrderArrived(order, group, asker, reply))
+        await stream.send_message(answer_to_wire(await reply.wait()))
--- /dev/null
+++ b/packages/agent/tests/conftest.py
@@ -0,0 +1,84 @@
+"""Fixtures of the agent tests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+from grpclib.client import Channel
+
+from sardineyard.agent.group_wire import answer_from_wire, order_to_wire
+from sardineyard.core.ids import GroupId, StepNumber, UpstreamId
+from sardineyard.experts.coordinator import Coordinator, Phase
+from sardineyard.experts.orders import OrderReply, Refusal
+from sardineyard.standins.group_fleet import GROUP, GroupFleet, GroupSpec
+from sardineyard.wire.session_grpc import AgentStub
+
+
+@pytest.fixture
+def run_group(tmp_path: Path) -> Callable[..., Any]:
+    """Return a function that runs a scenario on a group and judges its record."""
+
+    def run(
+        spec: GroupSpec, scenario: Callable[[GroupFleet], Awaitable[Any]]
+    ) -> dict[str, Any]:
+        async def start_and_run() -> dict[str, Any]:
+            async with asyncio.timeout(60.0), GroupFleet(spec, tmp_path) as fleet:
+                await fleet.until(lambda record: record["steps"] > 0)
+                await fleet.control(**spec.control)
+                await scenario(fleet)
+                return await fleet.ranks(last=300)
+
+        record = asyncio.run(start_and_run())
+        assert record["two_maps"] == []
+        return record
+
+    return run
+
+
+@pytest.fixture
+def rival() -> Callable[..., Awaitable[int]]:
+    """Return a coordinator of the test's own, which proposes rotated maps."""
+
+    async def run(fleet: GroupFleet, asker: str, rounds: int) -> int:
+        members = [UpstreamId(name) for name in fleet.model_upstreams]
+        addresses = [fleet.ports[name].peer for name in fleet.agents]
+        channels = {
+            member: Channel(address.host, address.port)
+            for member, address in zip(members, addresses, strict=True)
+        }
+        coordinator = Coordinator(members, Random(1))
+
+        async def send(member: UpstreamId, order: Any) -> OrderReply:
+            message = order_to_wire(order, GroupId(GROUP), UpstreamId(asker))
+            reply = await AgentStub(channels[member]).Order(message, timeout=5.0)
+            refusal, report = answer_from_wire(reply)
+            assert refusal is not Refusal.NOT_A_MEMBER, refusal.value
+            return OrderReply(order, refusal, report and report.state)
+
+        async def exchange(orders: dict[UpstreamId, Any]) -> None:
+            while orders:
+                replies = await asyncio.gather(
+                    *(send(member, order) for member, order in orders.items())
+                )
+                sent, orders = orders, {}
+                for member, reply in zip(sent, replies, strict=True):
+                    orders |= coordinator.receive(member, reply)
+
+        committed = 0
+        for _ in range(rounds):
+            await exchange(coordinator.begin())
+            states = coordinator.states.values()
+            if coordinator.phase is not Phase.READY or any(s.decided for s in states):
+                continue
+            ranks = next(s.in_use.ranks for s in states if s.in_use is not None)
+            step = StepNumber(max(state.step for state in states) + 3)
+            await exchange(coordinator.propose((*ranks[1:], ranks[0]), step))
+            committed += coordinator.phase is Phase.COMMITTED
+        for channel in channels.values():
+            channel.close()
+        return committed
+
+    return run
--- a/packages/console/src/sardineyard/console/sections.py
+++ b/packages/console/src/sardineyard/console/sections.py
@@ -72,6 +72,7 @@
             "slots_per_rank": "Expert replicas that fit in the memory of one rank.",
             "expert_bytes": "Size of one expert in bytes.",
             "rebalance_bytes_per_s": "Rate of the weight store for rebalancing.",
+            "rebalance_interval_s": "Seconds between two readings of the ranks.",
         },
         Section.SERVICES: {
             "name": f"{_NAME} Callers use it in /services/NAME/.",
--- a/packages/document/src/sardineyard/document/model.py
+++ b/packages/document/src/sardineyard/document/model.py
@@ -94,6 +94,9 @@
     expert_bytes: Annotated[int, _BYTES] = 100_000_000
     # Share of the weight store's rate that rebalancing may use, in bytes per second.
     rebalance_bytes_per_s: Annotated[float, _RATE] = 1e9
+    # Seconds between two readings of the ranks; after three missed ones the next
+    # agent of the group takes over.
+    rebalance_interval_s: Annotated[float, _RATE] = 2.0
 
 
 class Service(_Strict, frozen=True):
--- /dev/null
+++ b/packages/standins/src/sardineyard/standins/group_fleet.py
@@ -0,0 +1,122 @@
+"""A group of agents as real processes around the stand-in of their ranks."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from sardineyard.httpio.client import ResponseError, fetch
+from sardineyard.httpio.messages import HttpRequest
+from sardineyard.standins.fleet import MODEL, Fleet, FleetSpec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+GROUP = "group-1"
+_WAIT_S = 20.0
+_POLL_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class GroupSpec:
+    """Say how large a group is and how its load drifts."""
+
+    runners: int = 3
+    ranks_each: int = 2
+    slots_per_rank: int = 16
+    interval_s: float = 0.3
+    control: dict[str, Any] = field(default_factory=dict)
+
+
+class GroupFleet(Fleet):
+    """Run one agent for each runner of a group, without entries."""
+
+    def __init__(self, spec: GroupSpec, folder: Path) -> None:
+        super().__init__(FleetSpec(0, spec.runners, 0), folder)
+        self.group = spec
+
+    @property
+    def agents(self) -> list[str]:
+        """Return the names of the agents in the order of the document."""
+        return [f"agent-{upstream}" for upstream in self.model_upstreams]
+
+    def first_document(self) -> dict[str, Any]:
+        """Return the document of the fleet with its group."""
+        group = {
+            "id": GROUP,
+            "model": MODEL,
+            "upstreams": self.model_upstreams,
+            "ranks_per_upstream": self.group.ranks_each,
+            "slots_per_rank": self.group.slots_per_rank,
+            "rebalance_interval_s": self.group.interval_s,
+        }
+        return {**super().first_document(), "groups": [group]}
+
+    def _add_runner(self, upstream: str) -> None:
+        if "ranks" not in self.processes:
+            addresses = [str(self.runners[name]) for name in self.model_upstreams]
+            arguments = ["--addresses", *addresses]
+            arguments += ["--ranks-each", str(self.group.ranks_each)]
+            self._add("ranks", "sardineyard.standins.ranks", arguments)
+
+    async def control(self, **change: Any) -> None:
+        """Change the ranks."""
+        body = msgspec.json.encode(change)
+        address = self.runners[self.model_upstreams[0]]
+        await fetch(address, HttpRequest("POST", "/control", {}, body), 5.0)
+
+    async def ranks(self, last: int = 0) -> dict[str, Any]:
+        """Return the record of the ranks, with the skew of the last steps."""
+        address = self.runners[self.model_upstreams[0]]
+        request = HttpRequest("GET", f"/record?last={last}")
+        record: dict[str, Any] = msgspec.json.decode(
+            (await fetch(address, request, 5.0)).body
+        )
+        return record
+
+    async def until(
+        self, condition: Callable[[dict[str, Any]], bool]
+    ) -> dict[str, Any]:
+        """Wait until the record of the ranks meets a condition and return it."""
+        async with asyncio.timeout(_WAIT_S):
+            while True:
+                try:
+                    record = await self.ranks()
+                except (OSError, ResponseError):
+                    # The stand-in is still starting.
+                    record = None
+                if record is not None and condition(record):
+                    return record
+                await asyncio.sleep(_POLL_S)
+
+    async def new_map(self, count: int = 1) -> dict[str, Any]:
+        """Let blocked orders go and wait until more maps have come into use."""
+        await self.control(blocked=[])
+        known = len((await self.ranks())["maps"])
+        return await self.until(lambda record: len(record["maps"]) >= known + count)
+
+    async def view(self, agent: str) -> dict[str, Any]:
+        """Return what an agent knows about the group."""
+        view: dict[str, Any] = (await self.state(agent))["groups"][0]
+        return view
+
+    async def until_coordinating(self, agent: str) -> None:
+        """Wait until an agent holds itself for the coordinator."""
+        async with asyncio.timeout(_WAIT_S):
+            while not (await self.view(agent))["coordinating"]:  # noqa: ASYNC110
+                await asyncio.sleep(_POLL_S)
+
+    async def block(self, order: str) -> None:
+        """Hold an order such as "2 commit" back and wait until one arrives."""
+        await self.control(blocked=[order])
+        known = len((await self.ranks())["orders"])
+
+        def is_held(record: dict[str, Any]) -> bool:
+            orders = record["orders"][known:]
+            return any(o.startswith(order) and o.endswith("blocked") for o in orders)
+
+        await self.until(is_held)
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -67,6 +67,11 @@
     committed: int = 0
     map_version: int = 0
     stragglers: tuple[int, ...] = ()
+    # Ranks for which the others wait at the barrier.
+    stalled: tuple[int, ...] = ()
+    # Why the group cannot serve, or empty.
+    problem: str = ""
+    coordinating: bool = False
 
 
 class RequestView(msgspec.Struct, frozen=True, kw_only=True):
