--- a/packages/core/src/sardineyard/core/errors.py
+++ b/packages/core/src/sardineyard/core/errors.py
@@ -46,6 +46,8 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_UPSTREAM = "no_upstream"
     OWNER_UNAVAILABLE = "owner_unavailable"
+    OWNER_UNCERTAIN = "owner_uncertain"
+    NOT_OWNER = "not_owner"
     LEASE_EXPIRED = "lease_expired"
     STALE_INCARNATION = "stale_incarnation"
     QUARANTINED = "quarantined"
@@ -153,6 +155,19 @@
             "the owner of this Idempotency-Key is not reachable",
             1,
         ),
+        # An earlier attempt with the same key may have reached the owner.
+        ErrorKind.OWNER_UNCERTAIN: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _UNKNOWN,
+            "the owner of this Idempotency-Key could not be asked",
+            1,
+        ),
+        ErrorKind.NOT_OWNER: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _UNKNOWN,
+            "another upstream owns this Idempotency-Key",
+            1,
+        ),
         ErrorKind.LEASE_EXPIRED: _answer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             _NOT_RUN,
--- /dev/null
+++ b/packages/idempotency/tests/conftest.py
@@ -0,0 +1,91 @@
+"""Fixtures of the idempotency tests."""
+
+import uuid
+from collections.abc import Callable
+
+import pytest
+
+from sardineyard.core.clock import Deadline, ManualClock, WallTime
+from sardineyard.core.ids import (
+    Fingerprint,
+    Incarnation,
+    ServiceName,
+    TeamId,
+    UpstreamId,
+)
+from sardineyard.idempotency.keys import ScopedKey, parse_key
+from sardineyard.idempotency.lease import AddressLease
+from sardineyard.idempotency.messages import Attempt
+from sardineyard.idempotency.ownership import Ownership, UpstreamSets
+from sardineyard.idempotency.store import KeyStore
+from sardineyard.idempotency.table import KeyLimits, KeyTable
+
+UPSTREAM = UpstreamId("booking-1")
+INCARNATION = Incarnation(7)
+SERVICE = ServiceName("booking")
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """Return a clock that stands still."""
+    return ManualClock()
+
+
+@pytest.fixture
+def timed_text() -> Callable[[WallTime], str]:
+    """Return a function that writes a UUID version 7 for a creation time."""
+
+    def write(created: WallTime) -> str:
+        value = round(created * 1000) << 80 | 7 << 76 | 2 << 62
+        return str(uuid.UUID(int=value | uuid.uuid4().int & ((1 << 62) - 1)))
+
+    return write
+
+
+@pytest.fixture
+def attempt() -> Callable[..., Attempt]:
+    """Return a function that makes attempts with a key text."""
+
+    def make(text: str, fingerprint: str = "body", deadline: float = 1e9) -> Attempt:
+        scoped = ScopedKey(TeamId("team"), SERVICE, parse_key(text).unwrap())
+        return Attempt(
+            scoped, Fingerprint(fingerprint), Deadline(deadline), INCARNATION
+        )
+
+    return make
+
+
+@pytest.fixture
+def renew(clock: ManualClock) -> Callable[[KeyTable, AddressLease], None]:
+    """Return a function that holds the lease until it is settled."""
+
+    def run(table: KeyTable, lease: AddressLease) -> None:
+        for _ in range(4):
+            table.confirm_lease(lease.begin(), INCARNATION)
+            clock.advance(0.4)
+        table.confirm_lease(lease.begin(), INCARNATION)
+
+    return run
+
+
+@pytest.fixture
+def lease(clock: ManualClock) -> AddressLease:
+    """Return the lease of the agent under test."""
+    return AddressLease(clock, INCARNATION)
+
+
+@pytest.fixture
+def table(
+    clock: ManualClock,
+    lease: AddressLease,
+    renew: Callable[[KeyTable, AddressLease], None],
+) -> KeyTable:
+    """Return a small table whose lease is held and whose floor has passed."""
+    table = KeyTable(clock, UPSTREAM, lease, KeyStore(4, 100))
+    sets = UpstreamSets((UPSTREAM,))
+    table.follow(Ownership({SERVICE: sets}), KeyLimits(untimed_key_window_s=2.0))
+    table.confirm_lease(lease.begin(), INCARNATION)
+    for _ in range(12):
+        clock.advance(0.5)
+        table.confirm_lease(lease.begin(), INCARNATION)
+    return table
