--- a/packages/idempotency/src/sardineyard/idempotency/messages.py
+++ b/packages/idempotency/src/sardineyard/idempotency/messages.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sardineyard.core.clock import Deadline
+    from sardineyard.core.clock import Deadline, WallTime
     from sardineyard.core.errors import Outcome, RequestError
     from sardineyard.core.ids import Fingerprint, Incarnation, UpstreamId
     from sardineyard.idempotency.keys import ScopedKey
@@ -64,6 +64,7 @@
 
     ticket: Ticket
     owners: tuple[UpstreamId, ...]
+    question: SurrenderQuestion
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,16 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class SurrenderQuestion:
+    """Ask a previous owner to give up a key."""
+
+    scoped: ScopedKey
+    # When the attempt arrived at the asker, by the asker's clock. The age of an
+    # untimed key counts from then, not from the arrival of this question.
+    arrival: WallTime
+
+
 @dataclass(frozen=True, slots=True)
 class SurrenderAnswer:
     """Answer a new owner; `RAN` carries the answer while it is kept."""
--- a/packages/idempotency/src/sardineyard/idempotency/table.py
+++ b/packages/idempotency/src/sardineyard/idempotency/table.py
@@ -19,6 +19,7 @@
     Replay,
     Run,
     SurrenderAnswer,
+    SurrenderQuestion,
     SurrenderState,
     Ticket,
 )
@@ -108,7 +109,7 @@
             return self._repeat(attempt, entry)
         place = self._ownership.place(attempt.scoped)
         refusal = (
-            self._refuse_uncertain(attempt.scoped)
+            self._refuse_uncertain(attempt.scoped, self._clock.wall())
             or self._refuse_not_owner(place.owner)
             or self._refuse_late(attempt, certain=not place.previous)
         )
@@ -121,7 +122,10 @@
         if not self._store.add(attempt.scoped, entry):
             kind = ErrorKind.KEY_UNCERTAIN if place.previous else ErrorKind.OVERLOADED
             return _refuse(kind)
-        return AskPrevious(ticket, place.previous) if place.previous else Run(ticket)
+        if not place.previous:
+            return Run(ticket)
+        question = SurrenderQuestion(attempt.scoped, entry.arrival)
+        return AskPrevious(ticket, place.previous, question)
 
     def resolve(
         self, ticket: Ticket, answers: Collection[SurrenderAnswer]
@@ -178,13 +182,17 @@
         else:
             self._store.remove(scoped)
 
-    def surrender(self, scoped: ScopedKey) -> SurrenderAnswer:
+    def surrender(self, question: SurrenderQuestion) -> SurrenderAnswer:
         """Give up a key for its new owner, or say what is known about it."""
+        scoped = question.scoped
         entry = self._store.find(scoped)
         if entry is not None:
             state = _KNOWN_STATES[entry.state]
             return SurrenderAnswer(state, entry.answer, entry.fingerprint)
-        if self._refuse_uncertain(scoped) is not None:
+        # The asker's clock may be ahead of this one by the skew bound.
+        asked = WallTime(question.arrival - self._limits.max_clock_skew_s)
+        claimed = min(self._clock.wall(), asked)
+        if self._refuse_uncertain(scoped, claimed) is not None:
             return SurrenderAnswer(SurrenderState.UNKNOWN)
         ticket = Ticket(scoped, next(self._numbers))
         if not self._store.add(scoped, self._new_entry(ticket, KeyState.SURRENDERED)):
@@ -209,14 +217,14 @@
             return Join(Ticket(attempt.scoped, entry.number))
         return _refuse(ErrorKind.KEY_UNCERTAIN, f"the call is {entry.state.value}")
 
-    def _refuse_uncertain(self, scoped: ScopedKey) -> Refuse | None:
+    def _refuse_uncertain(self, scoped: ScopedKey, arrival: WallTime) -> Refuse | None:
         """Refuse a key that another incarnation may have run."""
-        arrival = self._clock.wall()
+        now = self._clock.wall()
         skew = self._limits.max_clock_skew_s
         created = created_at(scoped.key, arrival, self._limits.untimed_key_window_s)
-        if created > arrival + 2 * skew:
+        if created > now + 2 * skew:
             return _refuse(ErrorKind.KEY_INVALID, "its creation time is in the future")
-        if created > arrival + skew:
+        if created > now + skew:
             # An agent whose clock is ahead of this one may have accepted the key.
             return _refuse(ErrorKind.KEY_UNCERTAIN, "its creation time is ahead")
         if self._store.is_forgotten(scoped, created):
--- a/packages/idempotency/tests/test_table.py
+++ b/packages/idempotency/tests/test_table.py
@@ -1,6 +1,7 @@
 """Tests of the decisions about keys."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
@@ -20,6 +21,7 @@
     Run,
     StoredAnswer,
     SurrenderAnswer,
+    SurrenderQuestion,
     SurrenderState,
 )
 from sardineyard.idempotency.ownership import Ownership, UpstreamSets
@@ -194,11 +196,17 @@
     assert table.resolve(asked.ticket, [never, ran]) == Replay(answer)
 
 
-def test_a_surrendered_key_is_never_run(table: KeyTable, attempt: MakeAttempt) -> None:
+def test_a_surrendered_key_is_never_run(
+    table: KeyTable, attempt: MakeAttempt, clock: ManualClock
+) -> None:
     """Guards against a run by the previous owner after its promise."""
     scoped = attempt("a").scoped
-    assert table.surrender(scoped).state is SurrenderState.NEVER_RUNS
+    asked = SurrenderQuestion(scoped, clock.wall())
+    assert table.surrender(asked).state is SurrenderState.NEVER_RUNS
     assert _kind(table.admit(attempt("a"))) is ErrorKind.KEY_UNCERTAIN
     running = table.admit(attempt("b"))
     assert isinstance(running, Run)
-    assert table.surrender(running.ticket.scoped).state is SurrenderState.RUNNING
+    assert (
+        table.surrender(replace(asked, scoped=running.ticket.scoped)).state
+        is SurrenderState.RUNNING
+    )
