Connect the key table to the agent and route keyed calls to their owner

Cause: the end-to-end path had a first simple key table without floor, lease and surrender. Change: KeyOwner owns the library's table and talks to the scheduler, to callers and to previous owners by messages; the lease task has random peers dial back every third of the lease; Surrender answers from the table; a permit is asked between connecting to the runner and the first byte. The entry routes by the library's ownership, waits up to 2 s for an owner that is away and asks it again after a lost session, because the table makes that safe. An agent beside a plain service is ready once it accepts new keys. Decided: errors of the entry itself about a keyed call (owner away, draining, not ready) say owner_uncertain (unknown) instead of not_run, since an earlier attempt of the same key may have run.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -8,6 +8,7 @@
 from grpclib.server import Server
 
 from sardineyard.agent.key_owner import KeyOwner
+from sardineyard.agent.lease_task import LeaseTask
 from sardineyard.agent.messages import Drain
 from sardineyard.agent.scheduler import Scheduler
 from sardineyard.agent.service import AgentService
@@ -43,8 +44,22 @@
         upstream = UpstreamId(settings.upstream)
         incarnation = self._identity.incarnation
         self._scheduler = Scheduler(upstream, incarnation, self._runner(), clock)
-        self._key_owner = KeyOwner(self._scheduler.mailbox)
-        subscribers: list[Mailbox[Any]] = [self._scheduler.mailbox]
+        self._key_owner = KeyOwner(
+            self._scheduler.mailbox, upstream, incarnation, clock
+        )
+        self._lease = LeaseTask(
+            settings.advertised_address,
+            settings.seed_peers,
+            self._key_owner.mailbox,
+            clock,
+            Random(),
+        )
+        subscribers: list[Mailbox[Any]] = [
+            self._scheduler.mailbox,
+            self._key_owner.mailbox,
+        ]
+        if self._has_keys:
+            subscribers.append(self._lease.mailbox)
         self._follower = ConfigFollower(
             settings.platform_address, Random(), subscribers
         )
@@ -68,6 +83,8 @@
         """Start the tasks and listen."""
         self._tasks.start("scheduler", self._scheduler.run())
         self._tasks.start("key-owner", self._key_owner.run())
+        if self._has_keys:
+            self._tasks.start("address-lease", self._lease.run())
         self._tasks.start("config-follower", self._follower.run())
         address = self._settings.peer_address
         await self._server.start(address.host, address.port)
@@ -100,10 +117,15 @@
             return ModelRunner(self._pool)
         return PlainService(self._pool)
 
+    @property
+    def _has_keys(self) -> bool:
+        # Only plain services have calls with keys, so only their agents need a lease.
+        return self._settings.upstream_kind is UpstreamKind.PLAIN_SERVICE
+
     def _is_ready(self) -> bool:
-        return (
-            self._state is ProcessState.SERVING and self._follower.current is not None
-        )
+        if self._state is not ProcessState.SERVING or self._follower.current is None:
+            return False
+        return not self._has_keys or self._key_owner.accepts_new_keys
 
     async def _dump(self) -> object:
         current = self._follower.current
@@ -113,6 +135,11 @@
             "state": self._state,
             "document_version": current.order.version if current else None,
             "open_requests": self._scheduler.open_requests,
+            "keys": {
+                "accepts_new": self._key_owner.accepts_new_keys,
+                "open": self._key_owner.open_tickets,
+                "known": self._key_owner.key_count,
+            },
         }
 
     def _metrics(self) -> tuple[dict[str, str], bytes]:
--- a/packages/agent/src/sardineyard/agent/messages.py
+++ b/packages/agent/src/sardineyard/agent/messages.py
@@ -14,6 +14,7 @@
         LoadReport,
         ServiceCall,
     )
+    from sardineyard.runner.kinds import Permit
 
 SessionId = NewType("SessionId", int)
 
@@ -32,6 +33,8 @@
     request: Generation | ServiceCall
     sink: CallSink
     session: SessionId
+    # Asked immediately before the first byte goes to the upstream.
+    permit: Permit | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agent/src/sardineyard/agent/runner_call.py
+++ b/packages/agent/src/sardineyard/agent/runner_call.py
@@ -12,32 +12,42 @@
 from sardineyard.core.requests import CallFailed
 from sardineyard.runner.kinds import (
     MalformedAnswerError,
+    NotPermittedError,
     NotSentError,
     RunnerError,
     execute,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
     from sardineyard.agent.messages import CallSink
     from sardineyard.core.clock import Clock
-    from sardineyard.core.requests import Generation, ServiceCall
+    from sardineyard.core.requests import CallEvent, Generation, ServiceCall
     from sardineyard.runner import Runner
+    from sardineyard.runner.kinds import Permit
 
 _logger = logging.getLogger(__name__)
 
 
 async def run_call(
-    runner: Runner, request: Generation | ServiceCall, sink: CallSink, clock: Clock
+    runner: Runner,
+    request: Generation | ServiceCall,
+    sink: CallSink,
+    clock: Clock,
+    permit: Permit | None = None,
 ) -> None:
     """Run a request until its end, its deadline or an error, and report each event."""
     try:
         async with (
             asyncio.timeout(remaining(clock, request.deadline)),
-            aclosing(execute(runner, request)) as events,
+            aclosing(_execute(runner, request, permit)) as events,
         ):
             async for event in events:
                 if not sink.offer(event):
                     return
+    except NotPermittedError as error:
+        sink.offer(CallFailed(request.request_id, error.error))
     except NotSentError as error:
         _fail(request, sink, ErrorKind.NO_UPSTREAM, str(error))
     except MalformedAnswerError as error:
@@ -55,6 +65,14 @@
         _fail(request, sink, ErrorKind.INTERNAL, "")
 
 
+def _execute(
+    runner: Runner, request: Generation | ServiceCall, permit: Permit | None
+) -> AsyncGenerator[CallEvent, None]:
+    if permit is None:
+        return execute(runner, request)
+    return execute(runner, request, permit)
+
+
 def _fail(
     request: Generation | ServiceCall, sink: CallSink, kind: ErrorKind, detail: str
 ) -> None:
--- a/packages/agent/src/sardineyard/agent/scheduler.py
+++ b/packages/agent/src/sardineyard/agent/scheduler.py
@@ -148,7 +148,9 @@
 
     async def _run(self, submit: Submit) -> None:
         try:
-            await run_call(self._runner, submit.request, submit.sink, self._clock)
+            await run_call(
+                self._runner, submit.request, submit.sink, self._clock, submit.permit
+            )
         finally:
             self.mailbox.post(CallEnded(submit.request.request_id))
 
--- a/packages/agent/src/sardineyard/agent/service.py
+++ b/packages/agent/src/sardineyard/agent/service.py
@@ -8,8 +8,11 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from sardineyard.agent.key_messages import AskSurrender
 from sardineyard.agent.messages import SessionId
 from sardineyard.agent.session import Session
+from sardineyard.agent.surrender import decode_question, encode_answer
+from sardineyard.core.mailbox import Reply
 from sardineyard.wire import session_pb2 as pb
 from sardineyard.wire.session_grpc import AgentBase
 
@@ -19,6 +22,7 @@
     from sardineyard.core.clock import Clock
     from sardineyard.core.ids import Incarnation, UpstreamId
     from sardineyard.core.mailbox import Mailbox
+    from sardineyard.idempotency.messages import SurrenderAnswer
 
 
 class AgentService(AgentBase):
@@ -53,9 +57,15 @@
     async def Surrender(  # noqa: N802
         self, stream: Stream[pb.SurrenderRequest, pb.SurrenderReply]
     ) -> None:
-        """Answer with no knowledge of the key."""
-        await stream.recv_message()
-        await stream.send_message(pb.SurrenderReply())
+        """Give up a key for its new owner, or say what is known about it."""
+        request = await stream.recv_message()
+        question = decode_question(request) if request is not None else None
+        if question is None:
+            await stream.send_message(pb.SurrenderReply())
+            return
+        reply: Reply[SurrenderAnswer] = Reply()
+        self._key_owner.post(AskSurrender(question, reply))
+        await stream.send_message(encode_answer(await reply.wait()))
 
     async def Order(self, stream: Stream[pb.GroupOrder, pb.GroupReply]) -> None:  # noqa: N802
         """Refuse orders: this agent takes part in no group."""
--- a/packages/agent/src/sardineyard/agent/session.py
+++ b/packages/agent/src/sardineyard/agent/session.py
@@ -7,7 +7,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
-from sardineyard.agent.key_owner import KeyedCall
+from sardineyard.agent.key_messages import KeyedCall
 from sardineyard.agent.messages import (
     CancelRequest,
     ReadLoad,
--- a/packages/core/src/sardineyard/core/mailbox.py
+++ b/packages/core/src/sardineyard/core/mailbox.py
@@ -59,6 +59,11 @@
     def __init__(self) -> None:
         self._future: asyncio.Future[Value] = asyncio.get_running_loop().create_future()
 
+    @property
+    def done(self) -> bool:
+        """Return whether the answer was given or its sender no longer waits."""
+        return self._future.done()
+
     def send(self, value: Value) -> None:
         """Give the answer; a sender that no longer waits is ignored."""
         if not self._future.done():
--- a/packages/entry/src/sardineyard/entry/agent_link.py
+++ b/packages/entry/src/sardineyard/entry/agent_link.py
@@ -14,6 +14,7 @@
     CallFailed,
     GenerationEnd,
     ServiceAnswer,
+    ServiceCall,
     TokenBatch,
 )
 from sardineyard.entry.messages import (
@@ -102,7 +103,7 @@
     def _start_request(self, message: StartRequest) -> None:
         request_id = message.request.request_id
         if self._session is None or not self._is_open:
-            error = RequestError(ErrorKind.NO_UPSTREAM, "no session to the agent")
+            error = RequestError(_kind_without_session(message), "no session")
             message.events.offer(CallFailed(request_id, error))
             return
         self._calls[request_id] = message.events
@@ -209,3 +210,10 @@
         while True:
             await asyncio.sleep(PING_INTERVAL_S)
             self.mailbox.offer(PingDue())
+
+
+def _kind_without_session(message: StartRequest) -> ErrorKind:
+    request = message.request
+    if isinstance(request, ServiceCall) and request.idempotency_key is not None:
+        return ErrorKind.OWNER_UNAVAILABLE
+    return ErrorKind.NO_UPSTREAM
--- a/packages/entry/src/sardineyard/entry/attempts.py
+++ b/packages/entry/src/sardineyard/entry/attempts.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from sardineyard.entry.generation_run import GenerationRun
+from sardineyard.entry.keyed_run import KeyedRun
 from sardineyard.entry.router_client import RouterClient
 from sardineyard.entry.service_run import ServiceRun
 
@@ -26,6 +28,7 @@
     def __init__(self, router: Mailbox[Any], clock: Clock) -> None:
         self._router = RouterClient(router)
         self._clock = clock
+        self._random = Random()
 
     def generate(self, request: Generation) -> AsyncGenerator[GenerationStep, None]:
         """Return the steps of an answer: tokens, then the end or an error."""
@@ -33,4 +36,7 @@
 
     async def call(self, request: ServiceCall) -> Result[ServiceAnswer, RequestError]:
         """Run one call of a plain service."""
+        if request.idempotency_key is not None:
+            run = KeyedRun(request, self._router, self._clock, self._random)
+            return await run.result()
         return await ServiceRun(request, self._router, self._clock).result()
--- a/packages/entry/src/sardineyard/entry/front.py
+++ b/packages/entry/src/sardineyard/entry/front.py
@@ -104,9 +104,9 @@
     ) -> RequestError | None:
         directory = self._directory()
         if self._is_draining():
-            return RequestError(ErrorKind.DRAINING)
+            return _refuse_now(request, ErrorKind.DRAINING)
         if directory is None:
-            return RequestError(ErrorKind.NOT_READY)
+            return _refuse_now(request, ErrorKind.NOT_READY)
         match admit(request, directory, self._clock):
             case Success(admitted):
                 pass
@@ -129,6 +129,17 @@
         return RequestError(ErrorKind.NOT_FOUND, path)
 
 
+def _refuse_now(request: HttpRequest, kind: ErrorKind) -> RequestError:
+    """Refuse a request because of the state of this entry.
+
+    A caller that sends a key again must not be told that the call was not run: an
+    earlier attempt may have run it through another entry.
+    """
+    if "idempotency-key" in request.headers:
+        return RequestError(ErrorKind.OWNER_UNCERTAIN, kind.value)
+    return RequestError(kind)
+
+
 async def _send_models(exchange: Exchange, directory: Directory) -> None:
     models = [{"id": model, "object": "model"} for model in directory.models]
     body = msgspec.json.encode({"object": "list", "data": models})
--- /dev/null
+++ b/packages/entry/src/sardineyard/entry/keyed_run.py
@@ -0,0 +1,105 @@
+"""One call with an idempotency key: only its owner is asked, again where it helps."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Success
+
+from sardineyard.core.clock import deadline_after, remaining
+from sardineyard.core.errors import ErrorKind, Outcome, RequestError
+from sardineyard.entry.service_run import ServiceRun
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from returns.result import Result
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.requests import ServiceAnswer, ServiceCall
+    from sardineyard.entry.router_client import RouterClient
+
+# An owner that is away for longer has lost its table, and the floor of its successor
+# lies above the key, so more waiting would not make the answer more certain.
+_OWNER_WAIT_S = 2.0
+_FIRST_PAUSE_S = 0.1
+_MAX_ATTEMPTS = 6
+
+# The owner may know more when it is asked again; its table prevents a second run.
+_ASK_AGAIN = frozenset(
+    {
+        ErrorKind.NO_UPSTREAM,
+        ErrorKind.NOT_OWNER,
+        ErrorKind.OWNER_UNAVAILABLE,
+        ErrorKind.OWNER_UNCERTAIN,
+        ErrorKind.STALE_INCARNATION,
+        ErrorKind.LEASE_EXPIRED,
+        ErrorKind.UPSTREAM_LOST,
+    }
+)
+
+
+class KeyedRun:
+    """Run one call with a key at the owner of the key."""
+
+    def __init__(
+        self, request: ServiceCall, router: RouterClient, clock: Clock, random: Random
+    ) -> None:
+        self._request = request
+        self._router = router
+        self._clock = clock
+        self._random = random
+        self._run = ServiceRun(request, router, clock)
+
+    async def result(self) -> Result[ServiceAnswer, RequestError]:
+        """Return the answer, or an error that is true of every attempt so far."""
+        uncertain: RequestError | None = None
+        error = RequestError(ErrorKind.OWNER_UNCERTAIN)
+        pause_s = _FIRST_PAUSE_S
+        for _ in range(_MAX_ATTEMPTS):
+            match await self._attempt():
+                case Success(answer):
+                    return Success(answer)
+                case Failure(failed):
+                    error = _of_every_attempt(failed)
+            # An attempt with an uncertain end may still arrive and run, so a later
+            # attempt that was not run says nothing about the request.
+            if error.outcome is not Outcome.NOT_RUN:
+                uncertain = error
+            if not await self._may_ask_again(failed, pause_s):
+                break
+            await asyncio.sleep(self._random.uniform(pause_s / 2, pause_s))
+            pause_s *= 2
+        return Failure(uncertain or error)
+
+    async def _attempt(self) -> Result[ServiceAnswer, RequestError]:
+        wait_until = min(
+            self._request.deadline, deadline_after(self._clock, _OWNER_WAIT_S)
+        )
+        try:
+            async with asyncio.timeout(remaining(self._clock, wait_until)):
+                picked = await self._router.pick(self._request, frozenset())
+        except TimeoutError:
+            return Failure(RequestError(ErrorKind.OWNER_UNAVAILABLE))
+        match picked:
+            case Success(pick):
+                return await self._run.attempt(pick)
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("a Result is a Success or a Failure")
+
+    async def _may_ask_again(self, error: RequestError, pause_s: float) -> bool:
+        if error.kind not in _ASK_AGAIN:
+            return False
+        if remaining(self._clock, self._request.deadline) <= pause_s:
+            return False
+        return await self._router.may_retry()
+
+
+def _of_every_attempt(error: RequestError) -> RequestError:
+    # Nothing was sent to the owner now, but an earlier attempt of the caller may
+    # have reached it, through this entry or another one.
+    if error.kind is ErrorKind.OWNER_UNAVAILABLE:
+        return RequestError(ErrorKind.OWNER_UNCERTAIN, error.detail)
+    return error
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -7,7 +7,6 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
-import xxhash
 from returns.result import Failure, Success
 
 from sardineyard.configsync.messages import DocumentAdopted
@@ -26,6 +25,8 @@
     Pick,
     PickUpstream,
 )
+from sardineyard.idempotency.keys import ScopedKey, parse_key
+from sardineyard.idempotency.ownership import Ownership
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -71,6 +72,8 @@
         self._random = random
         self._known: dict[UpstreamId, _Known] = {}
         self._services: dict[ServiceName, Service] = {}
+        self._ownership = Ownership()
+        self._parked: list[PickUpstream] = []
         self._retry_tokens = _MAX_RETRY_TOKENS
 
     async def run(self) -> None:
@@ -90,6 +93,7 @@
     def _document_adopted(self, message: DocumentAdopted) -> None:
         document = message.document
         self._services = {service.name: service for service in document.services}
+        self._ownership = Ownership.of(document.services)
         wanted = {upstream.id: upstream for upstream in document.upstreams}
         for upstream_id, known in list(self._known.items()):
             replacement = wanted.get(upstream_id)
@@ -104,6 +108,7 @@
         for upstream in wanted.values():
             if upstream.id not in self._known:
                 self._add(upstream)
+        self._pick_for_parked()
 
     @_handle.register(PickUpstream)
     def _pick_upstream(self, message: PickUpstream) -> None:
@@ -114,6 +119,10 @@
                 assert known.incarnation is not None
                 pick = Pick(known.upstream.id, known.incarnation, known.link.mailbox)
                 message.reply.send(Success(pick))
+            case Failure(error) if error.kind is ErrorKind.OWNER_UNAVAILABLE:
+                # Only the owner may run the call, so it waits for the owner's return.
+                self._parked = [each for each in self._parked if not each.reply.done]
+                self._parked.append(message)
             case Failure(error):
                 message.reply.send(Failure(error))
 
@@ -139,6 +148,7 @@
         known = self._known.get(message.upstream)
         if known is not None:
             known.incarnation = message.incarnation
+            self._pick_for_parked()
 
     @_handle.register(LinkDown)
     def _link_down(self, message: LinkDown) -> None:
@@ -200,17 +210,20 @@
         return Success(min(pair, key=lambda known: known.in_flight))
 
     def _pick_owner(self, request: ServiceCall) -> Result[_Known, RequestError]:
-        service = self._services[request.service]
-        tail = f"\0{request.team}\0{request.service}\0{request.idempotency_key}"
-        owner = max(
-            service.upstreams,
-            key=lambda upstream: xxhash.xxh3_64_intdigest(f"{upstream}{tail}".encode()),
-        )
-        known = self._known.get(owner)
-        if known is None or not known.usable:
+        key = parse_key(request.idempotency_key or "").unwrap()
+        place = self._ownership.place(ScopedKey(request.team, request.service, key))
+        known = self._known.get(place.owner) if place.owner is not None else None
+        # An owner that drains still has the answers of the keys that it knows.
+        if known is None or known.incarnation is None:
             return Failure(RequestError(ErrorKind.OWNER_UNAVAILABLE))
         return Success(known)
 
+    def _pick_for_parked(self) -> None:
+        parked, self._parked = self._parked, []
+        for message in parked:
+            if not message.reply.done:
+                self._pick_upstream(message)
+
     def _candidates(self, request: Generation | ServiceCall) -> Iterable[_Known]:
         if isinstance(request, Generation):
             return [
--- a/packages/entry/src/sardineyard/entry/service_run.py
+++ b/packages/entry/src/sardineyard/entry/service_run.py
@@ -44,7 +44,7 @@
         for _ in range(MAX_ATTEMPTS):
             match await self._router.pick(self._request, excluded):
                 case Success(pick):
-                    last = await self._attempt(pick)
+                    last = await self.attempt(pick)
                 case Failure(error):
                     return last if excluded else Failure(error)
             match last:
@@ -54,7 +54,8 @@
                     break
         return last
 
-    async def _attempt(self, pick: Pick) -> Result[ServiceAnswer, RequestError]:
+    async def attempt(self, pick: Pick) -> Result[ServiceAnswer, RequestError]:
+        """Run one attempt at one upstream."""
         request = replace(self._request, incarnation=pick.incarnation)
         events: Mailbox[CallEvent] = Mailbox()
         pick.link.post(StartRequest(request, events))
--- a/packages/entry/src/sardineyard/entry/services.py
+++ b/packages/entry/src/sardineyard/entry/services.py
@@ -10,6 +10,7 @@
 from sardineyard.core.ids import ServiceName
 from sardineyard.core.requests import ServiceCall
 from sardineyard.entry.completions import fingerprint_of
+from sardineyard.idempotency.keys import parse_key
 
 if TYPE_CHECKING:
     from sardineyard.core.ids import RequestId
@@ -44,9 +45,14 @@
             case Failure(error):
                 return error
         repeatable = request.method in service.repeatable_methods
-        key = request.headers.get("idempotency-key")
-        if not repeatable and not key:
+        header = request.headers.get("idempotency-key")
+        if not repeatable and not header:
             return RequestError(ErrorKind.KEY_REQUIRED)
+        match parse_key(header) if header and not repeatable else Success(None):
+            case Success(key):
+                pass
+            case Failure(error):
+                return error
         call = ServiceCall(
             request_id=request_id,
             team=admitted.team.id,
@@ -61,7 +67,7 @@
                 admitted.team.id, f"{request.method} {request.target}", request.body
             ),
             repeatable=repeatable,
-            idempotency_key=None if repeatable else key,
+            idempotency_key=key.text if key else None,
         )
         match await self._attempts.call(call):
             case Success(answer):
--- a/packages/idempotency/src/sardineyard/idempotency/lease.py
+++ b/packages/idempotency/src/sardineyard/idempotency/lease.py
@@ -31,6 +31,11 @@
     asked_wall: WallTime
 
 
+def begin_renewal(clock: Clock) -> Renewal:
+    """Return the times to count from; call this before asking a peer."""
+    return Renewal(clock.now(), clock.wall())
+
+
 class AddressLease:
     """Say whether peers still reach this incarnation at its own address."""
 
@@ -67,10 +72,6 @@
             and self._last.asked >= self._acquired + self._duration_s
         )
 
-    def begin(self) -> Renewal:
-        """Return the times to count from; call this before asking a peer."""
-        return Renewal(self._clock.now(), self._clock.wall())
-
     def confirm(self, renewal: Renewal, answered: Incarnation) -> LeaseChange:
         """Take the incarnation that a peer reached at this agent's address."""
         if answered != self._incarnation:
--- a/packages/idempotency/src/sardineyard/idempotency/ownership.py
+++ b/packages/idempotency/src/sardineyard/idempotency/ownership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import xxhash
 
@@ -14,6 +14,22 @@
     from sardineyard.idempotency.keys import ScopedKey
 
 
+class ServiceSets(Protocol):
+    """Describe what a configured service says about its upstreams."""
+
+    @property
+    def name(self) -> ServiceName:
+        """Return the name of the service."""
+
+    @property
+    def upstreams(self) -> tuple[UpstreamId, ...]:
+        """Return the upstreams in force."""
+
+    @property
+    def previous_upstreams(self) -> tuple[tuple[UpstreamId, ...], ...]:
+        """Return the sets of documents that may still be used."""
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamSets:
     """Hold the upstreams of a service now and in documents that may still be used."""
@@ -21,6 +37,11 @@
     current: tuple[UpstreamId, ...]
     previous: tuple[tuple[UpstreamId, ...], ...] = ()
 
+    @property
+    def listed(self) -> frozenset[frozenset[UpstreamId]]:
+        """Return every set whose owners can be asked."""
+        return frozenset(frozenset(each) for each in (self.current, *self.previous))
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
@@ -31,6 +52,7 @@
 
 
 _NOWHERE = Place(None, ())
+_NO_SETS = UpstreamSets(())
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +61,23 @@
 
     services: Mapping[ServiceName, UpstreamSets] = field(default_factory=dict)
 
+    @classmethod
+    def of(cls, services: Iterable[ServiceSets]) -> Ownership:
+        """Return the ownership that a list of services describes."""
+        return cls(
+            {
+                each.name: UpstreamSets(each.upstreams, each.previous_upstreams)
+                for each in services
+            }
+        )
+
+    def drops(self, older: Ownership) -> bool:
+        """Return whether a set of an older document is no longer listed."""
+        return any(
+            not sets.listed <= self.services.get(name, _NO_SETS).listed
+            for name, sets in older.services.items()
+        )
+
     def place(self, scoped: ScopedKey) -> Place:
         """Return the owner of a key and its other owners in previous sets."""
         sets = self.services.get(scoped.service)
--- a/packages/idempotency/src/sardineyard/idempotency/store.py
+++ b/packages/idempotency/src/sardineyard/idempotency/store.py
@@ -65,9 +65,9 @@
         """Return the entry of a key."""
         return self._entries.get(scoped)
 
-    def is_forgotten(self, scoped: ScopedKey, created: WallTime) -> bool:
+    def is_forgotten(self, kind: type[Key], created: WallTime) -> bool:
         """Return whether an absent key may have been run or evicted before."""
-        return created <= self._floors[type(scoped.key)]
+        return created <= self._floors[kind]
 
     def raise_floor(self, floor: WallTime) -> None:
         """Raise the floor of every kind of key."""
--- a/packages/idempotency/src/sardineyard/idempotency/table.py
+++ b/packages/idempotency/src/sardineyard/idempotency/table.py
@@ -9,7 +9,7 @@
 
 from sardineyard.core.clock import WallTime
 from sardineyard.core.errors import ErrorKind, Outcome, RequestError
-from sardineyard.idempotency.keys import created_at
+from sardineyard.idempotency.keys import TimedKey, created_at
 from sardineyard.idempotency.lease import LeaseChange
 from sardineyard.idempotency.messages import (
     AskPrevious,
@@ -84,24 +84,42 @@
         self._store = store or KeyStore(MAX_ENTRIES, MAX_ANSWER_BYTES)
         self._limits = KeyLimits()
         self._ownership = Ownership()
+        self._version = 0
         self._numbers = count(1)
-        self._raise_floor()
 
-    def follow(self, ownership: Ownership, limits: KeyLimits) -> None:
-        """Use the upstream sets and limits of another document."""
-        if limits.max_clock_skew_s > self._limits.max_clock_skew_s:
-            self._limits = limits
-            self._raise_floor()
+    def follow(self, ownership: Ownership, limits: KeyLimits, version: int) -> None:
+        """Use the upstream sets and limits of a newer document."""
+        skew_grew = limits.max_clock_skew_s > self._limits.max_clock_skew_s
+        # An owner in a set that is no longer listed cannot be asked any more, so the
+        # keys that it may have run are refused by their age. The same holds for sets
+        # in documents that this agent never saw.
+        forgets = version != self._version + 1 or ownership.drops(self._ownership)
         self._limits = limits
         self._ownership = ownership
+        self._version = version
+        if skew_grew or forgets:
+            self._raise_floor(self._lease.duration_s if skew_grew else 0.0)
 
     def confirm_lease(self, renewal: Renewal, answered: Incarnation) -> LeaseChange:
         """Take a peer's confirmation; a lease that is acquired raises the floor."""
+        # An earlier incarnation accepted keys until its own lease ended, which was
+        # at most one lease after this one took over the address.
         change = self._lease.confirm(renewal, answered)
         if change is LeaseChange.ACQUIRED:
-            self._raise_floor()
+            self._raise_floor(self._lease.duration_s)
         return change
 
+    @property
+    def accepts_new_keys(self) -> bool:
+        """Return whether a timed key that is created now would be accepted."""
+        created = WallTime(self._clock.wall())
+        return self._lease.held and not self._store.is_forgotten(TimedKey, created)
+
+    @property
+    def key_count(self) -> int:
+        """Return the number of keys in memory."""
+        return self._store.key_count
+
     def admit(self, attempt: Attempt) -> Decision:
         """Decide about an attempt that arrived."""
         entry = self._store.find(attempt.scoped)
@@ -151,7 +169,7 @@
             return Run(ticket)
         # This agent did not start the call, so a later attempt may ask again.
         self._store.remove(ticket.scoped)
-        return _refuse(ErrorKind.KEY_UNCERTAIN, detail="a previous owner is uncertain")
+        return _refuse(ErrorKind.OWNER_UNCERTAIN, "a previous owner is uncertain")
 
     def start(self, ticket: Ticket, attempt: Attempt) -> Run | Refuse:
         """Check everything again immediately before the first byte."""
@@ -200,12 +218,12 @@
         self._store.finish(scoped, KeyState.SURRENDERED)
         return SurrenderAnswer(SurrenderState.NEVER_RUNS)
 
-    def _raise_floor(self) -> None:
-        # An earlier incarnation accepted keys until its lease ended, at most one
-        # lease from now. Its clock may have been ahead of this one by the skew bound,
-        # and the key's own clock ahead of that one by the same bound.
+    def _raise_floor(self, running_on_s: float) -> None:
+        """Refuse the keys that others accepted until some seconds from now."""
+        # The other's clock may be ahead of this one by the skew bound, and the key's
+        # own clock ahead of that one by the same bound.
         skew = 2 * self._limits.max_clock_skew_s
-        floor = self._clock.wall() + self._lease.duration_s + skew
+        floor = self._clock.wall() + running_on_s + skew
         self._store.raise_floor(WallTime(floor))
 
     def _repeat(self, attempt: Attempt, entry: Entry) -> Decision:
@@ -227,10 +245,10 @@
         if created > now + skew:
             # An agent whose clock is ahead of this one may have accepted the key.
             return _refuse(ErrorKind.KEY_UNCERTAIN, "its creation time is ahead")
-        if self._store.is_forgotten(scoped, created):
+        if self._store.is_forgotten(type(scoped.key), created):
             return _refuse(ErrorKind.KEY_UNCERTAIN, "the key is below the floor")
         if not self._lease.held:
-            return _refuse(ErrorKind.KEY_UNCERTAIN, "the address lease is not held")
+            return _refuse(ErrorKind.OWNER_UNCERTAIN, "the address lease is not held")
         return None
 
     def _refuse_not_owner(self, owner: UpstreamId | None) -> Refuse | None:
--- a/packages/idempotency/tests/conftest.py
+++ b/packages/idempotency/tests/conftest.py
@@ -14,7 +14,7 @@
     UpstreamId,
 )
 from sardineyard.idempotency.keys import ScopedKey, parse_key
-from sardineyard.idempotency.lease import AddressLease
+from sardineyard.idempotency.lease import AddressLease, begin_renewal
 from sardineyard.idempotency.messages import Attempt
 from sardineyard.idempotency.ownership import Ownership, UpstreamSets
 from sardineyard.idempotency.store import KeyStore
@@ -61,9 +61,9 @@
 
     def run(table: KeyTable, lease: AddressLease) -> None:
         for _ in range(4):
-            table.confirm_lease(lease.begin(), INCARNATION)
+            table.confirm_lease(begin_renewal(clock), INCARNATION)
             clock.advance(0.4)
-        table.confirm_lease(lease.begin(), INCARNATION)
+        table.confirm_lease(begin_renewal(clock), INCARNATION)
 
     return run
 
@@ -83,9 +83,9 @@
     """Return a small table whose lease is held and whose floor has passed."""
     table = KeyTable(clock, UPSTREAM, lease, KeyStore(4, 100))
     sets = UpstreamSets((UPSTREAM,))
-    table.follow(Ownership({SERVICE: sets}), KeyLimits(untimed_key_window_s=2.0))
-    table.confirm_lease(lease.begin(), INCARNATION)
-    for _ in range(12):
+    table.follow(Ownership({SERVICE: sets}), KeyLimits(untimed_key_window_s=2.0), 1)
+    table.confirm_lease(begin_renewal(clock), INCARNATION)
+    for _ in range(14):
         clock.advance(0.5)
-        table.confirm_lease(lease.begin(), INCARNATION)
+        table.confirm_lease(begin_renewal(clock), INCARNATION)
     return table
--- a/packages/idempotency/tests/test_model.py
+++ b/packages/idempotency/tests/test_model.py
@@ -21,7 +21,7 @@
     UpstreamId,
 )
 from sardineyard.idempotency.keys import ScopedKey, UntimedKey, parse_key
-from sardineyard.idempotency.lease import AddressLease
+from sardineyard.idempotency.lease import AddressLease, begin_renewal
 from sardineyard.idempotency.messages import (
     AskPrevious,
     Attempt,
@@ -109,11 +109,11 @@
         self.jobs: list[_Job] = []
         self.renewals: list[tuple[Renewal, Incarnation]] = []
         off = world.without
-        clock = _SkewedClock(world, world.skew())
+        self.clock = _SkewedClock(world, world.skew())
         lease = _AlwaysHeldLease if off is Mechanism.LEASE else AddressLease
         store = _NoFloorStore if off is Mechanism.FLOOR else KeyStore
-        self.lease = lease(clock, self.incarnation)
-        self.table = KeyTable(clock, upstream, self.lease, store(40, 10_000))
+        held = lease(self.clock, self.incarnation)
+        self.table = KeyTable(self.clock, upstream, held, store(40, 10_000))
 
 
 @dataclass
@@ -177,7 +177,7 @@
                 agent.table.confirm_lease(renewal, answered)
             holder = self.at_address[agent.upstream]
             if not holder.paused and len(agent.renewals) < 2:
-                agent.renewals.append((agent.lease.begin(), holder.incarnation))
+                agent.renewals.append((begin_renewal(agent.clock), holder.incarnation))
 
     def _send(self) -> None:
         recent = self.keys[-30:]
@@ -314,7 +314,7 @@
     def _adopt(self, agent: _Agent, version: int) -> None:
         agent.version = version
         ownership = Ownership({SERVICE: self.documents[version]})
-        agent.table.follow(ownership, LIMITS)
+        agent.table.follow(ownership, LIMITS, version + 1)
 
 
 def _faults(
--- a/packages/idempotency/tests/test_table.py
+++ b/packages/idempotency/tests/test_table.py
@@ -9,7 +9,7 @@
 from sardineyard.core.errors import ErrorKind, Outcome
 from sardineyard.core.ids import Incarnation, UpstreamId
 from sardineyard.idempotency.keys import TimedKey, UntimedKey, parse_key
-from sardineyard.idempotency.lease import AddressLease, LeaseChange
+from sardineyard.idempotency.lease import AddressLease, LeaseChange, begin_renewal
 from sardineyard.idempotency.messages import (
     AskPrevious,
     Attempt,
@@ -116,7 +116,7 @@
         texts.append(timed_text(clock.wall()) if timed else f"key-{number}")
         _run(table, attempt(texts[-1]))
         clock.advance(0.3)
-        table.confirm_lease(lease.begin(), Incarnation(7))
+        table.confirm_lease(begin_renewal(clock), Incarnation(7))
     assert _kind(table.admit(attempt(texts[0]))) is ErrorKind.KEY_UNCERTAIN
     assert isinstance(table.admit(attempt(texts[1])), Replay)
     # The other kind of key has a floor of its own.
@@ -149,7 +149,7 @@
     assert _kind(table.start(tickets[0], late)) is ErrorKind.DEADLINE_UNREACHABLE
     clock.advance(0.6)
     assert _kind(table.start(tickets[2], lost)) is ErrorKind.LEASE_EXPIRED
-    table.follow(Ownership(), KeyLimits(untimed_key_window_s=2.0))
+    table.follow(Ownership(), KeyLimits(untimed_key_window_s=2.0), 2)
     assert _kind(table.start(tickets[1], moved)) is ErrorKind.NOT_OWNER
 
 
@@ -159,13 +159,18 @@
     """Guards against keys that another incarnation ran while this one was paused."""
     clock.advance(5.0)
     assert not lease.held
-    assert table.confirm_lease(lease.begin(), Incarnation(7)) is LeaseChange.ACQUIRED
+    assert (
+        table.confirm_lease(begin_renewal(clock), Incarnation(7))
+        is LeaseChange.ACQUIRED
+    )
     for _ in range(3):
         clock.advance(0.5)
-        table.confirm_lease(lease.begin(), Incarnation(7))
+        table.confirm_lease(begin_renewal(clock), Incarnation(7))
     assert lease.held
     assert _kind(table.admit(attempt("a"))) is ErrorKind.KEY_UNCERTAIN
-    assert table.confirm_lease(lease.begin(), Incarnation(8)) is LeaseChange.REFUSED
+    assert (
+        table.confirm_lease(begin_renewal(clock), Incarnation(8)) is LeaseChange.REFUSED
+    )
     assert not lease.held
 
 
@@ -175,16 +180,16 @@
     """Guards against a second run by the new owner after a change of upstreams."""
     one = attempt("a")
     sets = UpstreamSets(
-        (UpstreamId("booking-1"),), ((UpstreamId("x"),), (UpstreamId("y"),))
-    )
-    table.follow(
-        Ownership({one.scoped.service: sets}), KeyLimits(untimed_key_window_s=2.0)
+        (UpstreamId("booking-1"),),
+        ((UpstreamId("x"),), (UpstreamId("y"),), (UpstreamId("booking-1"),)),
     )
+    moved = Ownership({one.scoped.service: sets})
+    table.follow(moved, KeyLimits(untimed_key_window_s=2.0), 2)
     asked = table.admit(one)
     assert isinstance(asked, AskPrevious)
     assert asked.owners == ("x", "y")
     never = SurrenderAnswer(SurrenderState.NEVER_RUNS)
-    assert _kind(table.resolve(asked.ticket, [never])) is ErrorKind.KEY_UNCERTAIN
+    assert _kind(table.resolve(asked.ticket, [never])) is ErrorKind.OWNER_UNCERTAIN
     again = table.admit(one)
     assert isinstance(again, AskPrevious)
     assert isinstance(table.resolve(again.ticket, [never, never]), Run)
--- a/packages/runner/src/sardineyard/runner/service.py
+++ b/packages/runner/src/sardineyard/runner/service.py
@@ -9,8 +9,10 @@
 from sardineyard.httpio.client import ResponseError
 from sardineyard.httpio.messages import HttpRequest
 from sardineyard.runner.kinds import (
+    NotPermittedError,
     NotSentError,
     RunnerError,
+    always_permit,
     execute,
 )
 
@@ -19,6 +21,7 @@
 
     from sardineyard.core.requests import CallEvent, ServiceCall
     from sardineyard.httpio.pool import ConnectionPool
+    from sardineyard.runner.kinds import Permit
 
 _MAX_ANSWER_BYTES = 4_194_304
 
@@ -32,7 +35,7 @@
 
 @execute.register(PlainService)
 async def execute_call(
-    runner: PlainService, request: ServiceCall
+    runner: PlainService, request: ServiceCall, permit: Permit = always_permit
 ) -> AsyncGenerator[CallEvent, None]:
     """Run one call on a plain service."""
     try:
@@ -40,6 +43,9 @@
     except (OSError, TimeoutError) as error:
         raise NotSentError(f"cannot connect to the service: {error}") from error
     try:
+        refusal = await permit()
+        if refusal is not None:
+            raise NotPermittedError(refusal)
         await connection.send(_service_request(request))
         head = await connection.receive_head()
         body = bytearray()
