--- a/packages/standins/src/sardineyard/standins/booking_runner.py
+++ b/packages/standins/src/sardineyard/standins/booking_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -33,6 +34,9 @@
     def __init__(self, address: Address, delay_s: float) -> None:
         self.runs: list[Run] = []
         self.delay_s = delay_s
+        # Share of the calls that run but get no answer.
+        self.lost_share = 0.0
+        self._random = Random()
         self.app = App(
             address,
             {
@@ -52,6 +56,8 @@
         )
         self.runs.append(run)
         await asyncio.sleep(self.delay_s)
+        if self._random.random() < self.lost_share:
+            return
         await send_json(exchange, {"booking": len(self.runs), "key": run.key}, 201)
 
     async def _look_up(self, request: HttpRequest, exchange: Exchange) -> None:
@@ -62,8 +68,10 @@
         await send_json(exchange, self.runs)
 
     async def _control(self, request: HttpRequest, exchange: Exchange) -> None:
-        self.delay_s = msgspec.json.decode(request.body)["delay_s"]
-        await send_json(exchange, {"delay_s": self.delay_s})
+        change = msgspec.json.decode(request.body)
+        self.delay_s = change.get("delay_s", self.delay_s)
+        self.lost_share = change.get("lost_share", self.lost_share)
+        await send_json(exchange, change)
 
 
 def main() -> None:
--- a/packages/standins/src/sardineyard/standins/fixtures.py
+++ b/packages/standins/src/sardineyard/standins/fixtures.py
@@ -25,11 +25,11 @@
 def run_fleet(tmp_path: Path) -> RunFleet:
     """Return a function that runs a scenario against a fleet and stops it."""
 
-    def run(spec: FleetSpec, scenario: Scenario) -> Any:
+    def run(spec: FleetSpec, scenario: Scenario, kind: type[Fleet] = Fleet) -> Any:
         async def start_and_run() -> Any:
             async with (
                 asyncio.timeout(_SCENARIO_TIMEOUT_S),
-                Fleet(spec, tmp_path) as fleet,
+                kind(spec, tmp_path) as fleet,
             ):
                 return await scenario(fleet)
 
--- a/packages/standins/src/sardineyard/standins/fleet.py
+++ b/packages/standins/src/sardineyard/standins/fleet.py
@@ -107,6 +107,10 @@
         """Return the address that callers of an entry use."""
         return self.ports[entry].caller
 
+    def advertised(self, name: str) -> Address:
+        """Return the address at which the other processes reach a daemon."""
+        return self.ports[name].peer
+
     async def start(self, name: str) -> None:
         """Start one process of the fleet."""
         await self.processes[name].start()
@@ -194,7 +198,7 @@
         self._add_platform()
         for upstream in upstreams:
             self._add_runner(upstream)
-            self._add_agent(upstream)
+            self.add_agent(upstream, f"agent-{upstream}")
         for entry in self.entries:
             self._add_entry(entry)
         await asyncio.gather(*(process.start() for process in self.processes.values()))
@@ -237,13 +241,14 @@
         return {
             "id": name,
             "kind": kind,
-            "agent_address": str(self.ports[f"agent-{name}"].peer),
+            "agent_address": str(self.advertised(f"agent-{name}")),
             "failure_domain": f"domain-{position % self.spec.domains + 1}",
             "models": [MODEL] if kind == "model_runner" else [],
             "slots": self.spec.slots,
         }
 
-    def _add(self, name: str, module: str, arguments: list[str]) -> None:
+    def add_process(self, name: str, module: str, arguments: list[str]) -> None:
+        """Add a process without starting it."""
         log = self.folder / f"{name}.log"
         self.processes[name] = ChildProcess(name, module, arguments, log)
 
@@ -251,7 +256,7 @@
         path = self.folder / "document.json"
         path.write_bytes(msgspec.json.encode(self.document))
         arguments = ["--address", str(self.platform), "--document", str(path)]
-        self._add("platform", "sardineyard.standins.platform", arguments)
+        self.add_process("platform", "sardineyard.standins.platform", arguments)
 
     def _add_runner(self, upstream: str) -> None:
         arguments = ["--address", str(self.runners[upstream])]
@@ -263,16 +268,17 @@
         else:
             arguments += ["--delay-s", str(self.spec.booking_delay_s)]
             module = "sardineyard.standins.booking_runner"
-        self._add(upstream, module, arguments)
+        self.add_process(upstream, module, arguments)
 
-    def _add_agent(self, upstream: str) -> None:
+    def add_agent(self, upstream: str, name: str) -> None:
+        """Add an agent of an upstream without starting it."""
         kind = "model_runner" if upstream in self.model_upstreams else "plain_service"
         section = {
             "upstream": upstream,
             "upstream_kind": kind,
             "upstream_address": str(self.runners[upstream]),
         }
-        self._add_daemon(f"agent-{upstream}", "agent", section)
+        self._add_daemon(name, "agent", section)
 
     def _add_entry(self, entry: str) -> None:
         section = {"caller_address": str(self.ports[entry].caller)}
@@ -286,7 +292,7 @@
                 "failure_domain": "domain-1",
                 "admin_address": str(ports.admin),
                 "peer_address": str(ports.peer),
-                "advertised_address": str(ports.peer),
+                "advertised_address": str(self.advertised(name)),
                 "drain_timeout_s": str(self.spec.drain_timeout_s),
             },
             "platform": {"address": str(self.platform)},
@@ -295,11 +301,11 @@
         }
         path = self.folder / f"{name}.ini"
         path.write_text(_ini(sections))
-        self._add(name, f"sardineyard.{role}", ["--settings", str(path)])
+        self.add_process(name, f"sardineyard.{role}", ["--settings", str(path)])
 
     def _seeds(self, name: str) -> str:
         others = (other for other in self.ports if other != name)
-        return ", ".join(str(self.ports[other].peer) for other in others)
+        return ", ".join(str(self.advertised(other)) for other in others)
 
 
 def _priority(
