--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -11,6 +11,7 @@
 from sardineyard.agent.group_messages import ReadGroup
 from sardineyard.agent.group_participant import GroupParticipant
 from sardineyard.agent.key_owner import KeyOwner
+from sardineyard.agent.lease_task import LeaseTask
 from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
 from sardineyard.agent.scheduler import Scheduler
 from sardineyard.agent.service import AgentService
@@ -57,7 +58,16 @@
         self._scheduler = Scheduler(
             upstream, incarnation, self._runner(), clock, self._measured
         )
-        self._key_owner = KeyOwner(self._scheduler.mailbox)
+        self._key_owner = KeyOwner(
+            self._scheduler.mailbox, upstream, incarnation, clock
+        )
+        self._lease = LeaseTask(
+            settings.advertised_address,
+            settings.seed_peers,
+            self._key_owner.mailbox,
+            clock,
+            Random(),
+        )
         self._sync = ConfigSync(
             PeerMember(
                 self._identity.process,
@@ -81,6 +91,9 @@
         self._coordinator.connect(self._participant.mailbox)
         self._sync.subscribe(self._participant.mailbox)
         self._sync.subscribe(self._coordinator.mailbox)
+        self._sync.subscribe(self._key_owner.mailbox)
+        if self._has_keys:
+            self._sync.subscribe(self._lease.mailbox)
         self._service = AgentService(
             upstream,
             incarnation,
@@ -106,6 +119,8 @@
         self._tasks.start("key-owner", self._key_owner.run())
         self._tasks.start("group-participant", self._participant.run())
         self._tasks.start("group-coordinator", self._coordinator.run())
+        if self._has_keys:
+            self._tasks.start("address-lease", self._lease.run())
         address = self._settings.peer_address
         await self._server.start(address.host, address.port)
         self._sync.start(self._tasks)
@@ -141,8 +156,15 @@
             return ModelRunner(self._pool)
         return PlainService(self._pool)
 
+    @property
+    def _has_keys(self) -> bool:
+        # Only plain services have calls with keys, so only their agents need a lease.
+        return self._settings.upstream_kind is UpstreamKind.PLAIN_SERVICE
+
     def _is_ready(self) -> bool:
-        return self._state is ProcessState.SERVING and self._sync.current is not None
+        if self._state is not ProcessState.SERVING or self._sync.current is None:
+            return False
+        return not self._has_keys or self._key_owner.accepts_new_keys
 
     async def _dump(self) -> AgentDump:
         load = await self._load()
@@ -161,6 +183,8 @@
             queues=await self._queues(),
             groups=await self._groups(),
             config=await self._sync.dump(),
+            idempotency_keys=self._key_owner.key_count,
+            lease_held=self._key_owner.accepts_new_keys,
         )
 
     async def _load(self) -> LoadReport:
--- a/packages/standins/src/sardineyard/standins/group_fleet.py
+++ b/packages/standins/src/sardineyard/standins/group_fleet.py
@@ -61,7 +61,7 @@
             addresses = [str(self.runners[name]) for name in self.model_upstreams]
             arguments = ["--addresses", *addresses]
             arguments += ["--ranks-each", str(self.group.ranks_each)]
-            self._add("ranks", "sardineyard.standins.ranks", arguments)
+            self.add_process("ranks", "sardineyard.standins.ranks", arguments)
 
     async def control(self, **change: Any) -> None:
         """Change the ranks."""
