--- a/packages/agent/src/sardineyard/agent/group_balance.py
+++ b/packages/agent/src/sardineyard/agent/group_balance.py
@@ -22,9 +22,11 @@
 
 _logger = logging.getLogger(__name__)
 
-# Intervals between two readings after which half of a load counts: short enough to
-# follow a drift, long enough to average the noise of single steps.
-_HALF_LIFE_INTERVALS = 4
+# Intervals between two readings after which half of a load counts. Longer half-lives
+# followed a drift later and moved more bytes: see docs/experts.md.
+_HALF_LIFE_INTERVALS = 0.5
+# Tokens of an average expert that an estimate needs for a noise of 5%.
+_LEAST_TOKENS_PER_EXPERT = 400
 
 
 class GroupBalance:
@@ -33,8 +35,12 @@
     def __init__(self, group: Group, clock: Clock) -> None:
         self._group = group
         ranks = len(group.upstreams) * group.ranks_per_upstream
-        self._half_life_s = _HALF_LIFE_INTERVALS * group.rebalance_interval_s
-        self._tracker = LoadTracker(clock, group.experts, self._half_life_s)
+        self._tracker = LoadTracker(
+            clock,
+            group.experts,
+            _HALF_LIFE_INTERVALS * group.rebalance_interval_s,
+            _LEAST_TOKENS_PER_EXPERT * group.experts,
+        )
         self._detector = StragglerDetector(ranks)
         self._rebalancer = Rebalancer(
             clock, RebalanceRules(group.expert_bytes, group.rebalance_bytes_per_s)
--- a/packages/experts/src/sardineyard/experts/load.py
+++ b/packages/experts/src/sardineyard/experts/load.py
@@ -15,12 +15,17 @@
     """Estimate the share of tokens that each expert gets.
 
     Runners report counters that only grow, so a report that is lost or repeated
-    changes nothing; a new incarnation of a runner starts from zero.
+    changes nothing; a new incarnation of a runner starts from zero. Decay never
+    takes the estimate below a least number of tokens, because too few tokens make
+    it so noisy that rebalancing follows the noise.
     """
 
-    def __init__(self, clock: Clock, experts: int, half_life_s: float) -> None:
+    def __init__(
+        self, clock: Clock, experts: int, half_life_s: float, least_tokens: float
+    ) -> None:
         self._clock = clock
         self._half_life_s = half_life_s
+        self._least_tokens = least_tokens
         self._loads = [0.0] * experts
         self._seen: dict[UpstreamId, tuple[Incarnation, Sequence[float]]] = {}
         self._decayed_at = clock.now()
@@ -46,4 +51,7 @@
         now = self._clock.now()
         factor = 0.5 ** ((now - self._decayed_at) / self._half_life_s)
         self._decayed_at = now
+        total = sum(self._loads)
+        if total * factor < self._least_tokens:
+            factor = min(1.0, self._least_tokens / total) if total else 1.0
         self._loads = [load * factor for load in self._loads]
--- a/packages/experts/tests/test_placement.py
+++ b/packages/experts/tests/test_placement.py
@@ -109,7 +109,7 @@
 
 def test_lost_and_repeated_reports_do_not_change_the_load(clock) -> None:
     """Guards against load counted twice, or counters of a restart taken as load."""
-    tracker = LoadTracker(clock, experts=2, half_life_s=10.0)
+    tracker = LoadTracker(clock, experts=2, half_life_s=10.0, least_tokens=1.0)
     runner = UpstreamId("runner-0")
     for counters in ((5.0, 5.0), (7.0, 5.0), (7.0, 5.0)):
         tracker.observe(runner, Incarnation(1), counters)
@@ -118,3 +118,6 @@
     clock.advance(10.0)
     tracker.observe(runner, Incarnation(2), (1.0, 10.0))
     assert tracker.loads == (1.0, 1.0)
+    clock.advance(1000.0)
+    tracker.observe(runner, Incarnation(2), (1.0, 10.0))
+    assert tracker.loads == (0.5, 0.5)
--- a/packages/standins/src/sardineyard/standins/rank_group.py
+++ b/packages/standins/src/sardineyard/standins/rank_group.py
@@ -172,7 +172,7 @@
         self.skews.append(max(times) * len(times) / sum(times))
         return max(times)
 
-    def _compute(self, ranks: RunnerRanks, counts: list[int]) -> list[float]:
+    def _compute(self, ranks: RunnerRanks, counts: list[float]) -> list[float]:
         in_use = ranks.state.in_use
         assert in_use is not None
         loads = rank_loads(in_use.ranks, counts)
--- a/packages/standins/src/sardineyard/standins/rank_load.py
+++ b/packages/standins/src/sardineyard/standins/rank_load.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from bisect import bisect
-from itertools import accumulate
+from math import sqrt
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -38,11 +37,13 @@
         expert = self._order.pop(self._rng.randrange(len(self._order)))
         self._order.insert(self._rng.randrange(len(self._order) + 1), expert)
 
-    def sample(self, tokens: int) -> list[int]:
-        """Return how many of a number of tokens go to each expert."""
-        bounds = list(accumulate(self.shares))
-        counts = [0] * len(bounds)
-        last = len(bounds) - 1
-        for _ in range(tokens):
-            counts[min(last, bisect(bounds, self._rng.random()))] += 1
-        return counts
+    def sample(self, tokens: int) -> list[float]:
+        """Return how many of a number of tokens go to each expert.
+
+        The normal approximation of the binomial distribution costs the same for any
+        number of tokens.
+        """
+        return [
+            max(0.0, self._rng.gauss(tokens * share, sqrt(tokens * share)))
+            for share in self.shares
+        ]
