--- /dev/null
+++ b/packages/routing/src/sardineyard/routing/policies.py
@@ -0,0 +1,185 @@
+"""Policies that choose an upstream; a router is created with one of them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import singledispatch
+from itertools import count
+from typing import TYPE_CHECKING
+
+from sardineyard.routing.prefixes import PrefixMemory, prefix_key
+from sardineyard.routing.subset import rendezvous_score
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from random import Random
+
+    from sardineyard.core.ids import FailureDomain, ModelName, UpstreamId
+    from sardineyard.routing.table import UpstreamTable, UpstreamView
+
+# Costs closer than this count as equal, and the nearer failure domain wins.
+_TIE = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """Ask for an upstream of a model."""
+
+    model: ModelName
+    prompt: str = ""
+    adapter: str = ""
+    # Upstreams that were tried for this request already.
+    excluded: frozenset[UpstreamId] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class PowerOfTwo:
+    """Take the cheaper of two random upstreams, with affinity to a prefix first."""
+
+    failure_domain: FailureDomain
+    # A preferred upstream is used up to this multiple of the mean load.
+    load_bound: float = 1.25
+    prefixes: PrefixMemory = field(default_factory=PrefixMemory)
+
+
+@dataclass(frozen=True, slots=True)
+class RoundRobin:
+    """Take the upstreams in turn, as a baseline."""
+
+    turns: Iterator[int] = field(default_factory=count)
+
+
+@dataclass(frozen=True, slots=True)
+class RandomChoice:
+    """Take any upstream, as a baseline."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeastReportedLoad:
+    """Take the upstream with the lowest last report, as a baseline."""
+
+
+Policy = PowerOfTwo | RoundRobin | RandomChoice | LeastReportedLoad
+
+
+@singledispatch
+def choose(
+    policy: object,
+    table: UpstreamTable,
+    request: RouteRequest,
+    now: float,
+    rng: Random,
+) -> UpstreamView | None:
+    """Return the upstream for a request, or None when there is none."""
+    raise NotImplementedError(type(policy).__name__)
+
+
+@choose.register(PowerOfTwo)
+def _choose_of_two(
+    policy: PowerOfTwo,
+    table: UpstreamTable,
+    request: RouteRequest,
+    now: float,
+    rng: Random,
+) -> UpstreamView | None:
+    views = table.usable(request.model, now, request.excluded)
+    if len(views) < 2:
+        return views[0] if views else None
+    others = table.mean_others(views)
+    key = _affinity_key(policy, request)
+    if key is not None:
+        preferred = _preferred(policy, table, views, key, now, others)
+        if preferred is not None:
+            return preferred
+    first, second = rng.sample(views, 2)
+    return _cheaper(policy, table, first, second, now, others)
+
+
+@choose.register(RoundRobin)
+def _choose_in_turn(
+    policy: RoundRobin,
+    table: UpstreamTable,
+    request: RouteRequest,
+    now: float,
+    rng: Random,
+) -> UpstreamView | None:
+    views = table.usable(request.model, now, request.excluded)
+    return views[next(policy.turns) % len(views)] if views else None
+
+
+@choose.register(RandomChoice)
+def _choose_any(
+    policy: RandomChoice,
+    table: UpstreamTable,
+    request: RouteRequest,
+    now: float,
+    rng: Random,
+) -> UpstreamView | None:
+    views = table.usable(request.model, now, request.excluded)
+    return rng.choice(views) if views else None
+
+
+@choose.register(LeastReportedLoad)
+def _choose_least(
+    policy: LeastReportedLoad,
+    table: UpstreamTable,
+    request: RouteRequest,
+    now: float,
+    rng: Random,
+) -> UpstreamView | None:
+    views = table.usable(request.model, now, request.excluded)
+    return min(views, key=lambda view: view.reported / view.slots, default=None)
+
+
+def distance(one: FailureDomain, other: FailureDomain) -> int:
+    """Return 0 for the same domain, 1 inside a region and 2 between regions.
+
+    A domain may be named `region/domain`; without a region all are in one.
+    """
+    if one == other:
+        return 0
+    same_region = one.rpartition("/")[0] == other.rpartition("/")[0]
+    return 1 if same_region else 2
+
+
+def _affinity_key(policy: PowerOfTwo, request: RouteRequest) -> bytes | None:
+    key = prefix_key(request.model, request.adapter, request.prompt)
+    if request.prompt and policy.prefixes.is_shared(key):
+        return key
+    if request.adapter:
+        # An adapter that is loaded at few upstreams is evicted less often.
+        return prefix_key(request.model, request.adapter, "")
+    return None
+
+
+def _preferred(
+    policy: PowerOfTwo,
+    table: UpstreamTable,
+    views: list[UpstreamView],
+    key: bytes,
+    now: float,
+    others: float,
+) -> UpstreamView | None:
+    best = max(views, key=lambda view: rendezvous_score(key, view.seed))
+    costs = [table.cost(view, now, others) for view in views]
+    mean = sum(costs) / len(costs)
+    cost = table.cost(best, now, others)
+    return best if cost <= policy.load_bound * mean else None
+
+
+def _cheaper(
+    policy: PowerOfTwo,
+    table: UpstreamTable,
+    first: UpstreamView,
+    second: UpstreamView,
+    now: float,
+    others: float,
+) -> UpstreamView:
+    one = table.cost(first, now, others)
+    two = table.cost(second, now, others)
+    if abs(one - two) <= _TIE * max(one, two):
+        near = distance(policy.failure_domain, first.failure_domain)
+        far = distance(policy.failure_domain, second.failure_domain)
+        if near != far:
+            return first if near < far else second
+    return first if one <= two else second
--- /dev/null
+++ b/packages/routing/src/sardineyard/routing/quarantine.py
@@ -0,0 +1,124 @@
+"""Quarantine of requests that crash the upstreams that run them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import TYPE_CHECKING
+
+from sardineyard.core.clock import deadline_after
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sardineyard.core.clock import Clock, Deadline
+    from sardineyard.core.ids import Fingerprint
+
+_CAPACITY = 10_000
+
+
+@unique
+class Treatment(Enum):
+    """Say how a request may run."""
+
+    NORMAL = "normal"
+    ISOLATED = "isolated"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """Count the crashes at which a fingerprint was running."""
+
+    fingerprint: Fingerprint
+    crashes: int
+    expires: Deadline
+
+
+class Quarantine:
+    """Isolate a fingerprint one crash before the limit and refuse it at the limit."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        limit: int = 3,
+        expiry_s: float = 600.0,
+        capacity: int = _CAPACITY,
+    ) -> None:
+        self._clock = clock
+        self._limit = limit
+        self._expiry_s = expiry_s
+        self._capacity = capacity
+        self._records: OrderedDict[Fingerprint, CrashRecord] = OrderedDict()
+        # Counts that a success has disproved; peers may still send them.
+        self._cleared: OrderedDict[Fingerprint, CrashRecord] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._records) + len(self._cleared)
+
+    def treatment(self, fingerprint: Fingerprint) -> Treatment:
+        """Return how a request may run."""
+        crashes = self._crashes(fingerprint)
+        if crashes >= self._limit:
+            return Treatment.REFUSED
+        if crashes >= self._limit - 1 > 0:
+            return Treatment.ISOLATED
+        return Treatment.NORMAL
+
+    def crashed(self, running: Iterable[Fingerprint]) -> None:
+        """Suspect every fingerprint that was running at one crash, once each."""
+        for fingerprint in set(running):
+            self._store(fingerprint, self._crashes(fingerprint) + 1)
+
+    def succeeded(self, fingerprint: Fingerprint) -> None:
+        """Clear a fingerprint whose request finished."""
+        record = self._records.pop(fingerprint, None)
+        if record is not None:
+            _put(self._cleared, record, self._capacity)
+
+    def records(self) -> list[CrashRecord]:
+        """Return the counts for peers."""
+        now = self._clock.now()
+        return [record for record in self._records.values() if record.expires > now]
+
+    def merge(self, records: Iterable[CrashRecord]) -> None:
+        """Take over counts of peers; the greatest count wins.
+
+        Counts are not added, because two entries may have seen the same crash.
+        """
+        now = self._clock.now()
+        for record in records:
+            cleared = self._cleared.get(record.fingerprint)
+            disproved = (
+                cleared is not None
+                and cleared.expires > now
+                and record.crashes <= cleared.crashes
+            )
+            if disproved or record.expires <= now:
+                continue
+            if record.crashes > self._crashes(record.fingerprint):
+                _put(self._records, record, self._capacity)
+
+    def _crashes(self, fingerprint: Fingerprint) -> int:
+        record = self._records.get(fingerprint)
+        if record is None:
+            return 0
+        if record.expires <= self._clock.now():
+            del self._records[fingerprint]
+            return 0
+        return record.crashes
+
+    def _store(self, fingerprint: Fingerprint, crashes: int) -> None:
+        expires = deadline_after(self._clock, self._expiry_s)
+        record = CrashRecord(fingerprint, crashes, expires)
+        _put(self._records, record, self._capacity)
+
+
+def _put(
+    records: OrderedDict[Fingerprint, CrashRecord], record: CrashRecord, capacity: int
+) -> None:
+    records[record.fingerprint] = record
+    records.move_to_end(record.fingerprint)
+    if len(records) > capacity:
+        records.popitem(last=False)
--- /dev/null
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -0,0 +1,217 @@
+"""What an entry knows about the upstreams of its subset."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sardineyard.core.states import UpstreamState
+from sardineyard.routing.outliers import OutlierDetector
+from sardineyard.routing.subset import candidate_seed
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from sardineyard.core.ids import FailureDomain, ModelName, UpstreamId
+    from sardineyard.core.requests import LoadReport
+
+# Reports arrive every 500 ms; one that is four periods old says little.
+_REPORT_LIFE_S = 2.0
+_SMOOTHING = 0.1
+# Latency assumed before the first answer; only ratios between upstreams count.
+_FIRST_LATENCY_S = 0.02
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamView:
+    """Hold the load, latency and state of one upstream."""
+
+    upstream: UpstreamId
+    models: frozenset[ModelName]
+    failure_domain: FailureDomain
+    slots: int
+    seed: int
+    state: UpstreamState = UpstreamState.LIVE
+    in_flight: int = 0
+    # Seconds per token; zero when no answer was seen.
+    latency_s: float = 0.0
+    # Load at the last report that is not this entry's own.
+    others: float = 0.0
+    reported: int = 0
+    reported_at: float = -math.inf
+
+
+class UpstreamTable:
+    """Keep load, latency and health; the cost of a read depends on the subset only."""
+
+    def __init__(self, outliers: OutlierDetector | None = None) -> None:
+        self._views: dict[UpstreamId, UpstreamView] = {}
+        self._by_model: dict[ModelName, list[UpstreamView]] = {}
+        self._outliers = outliers or OutlierDetector()
+        self._usable: dict[ModelName, list[UpstreamView]] = {}
+        self._usable_until = -math.inf
+
+    def __len__(self) -> int:
+        return len(self._views)
+
+    def __contains__(self, upstream: UpstreamId) -> bool:
+        return upstream in self._views
+
+    @property
+    def outliers(self) -> OutlierDetector:
+        """Return the detector of failing upstreams."""
+        return self._outliers
+
+    def view(self, upstream: UpstreamId) -> UpstreamView | None:
+        """Return what is known about one upstream."""
+        return self._views.get(upstream)
+
+    def views(self) -> list[UpstreamView]:
+        """Return all upstreams of the subset."""
+        return list(self._views.values())
+
+    def add(
+        self,
+        upstream: UpstreamId,
+        models: Iterable[ModelName],
+        failure_domain: FailureDomain,
+        slots: int,
+    ) -> None:
+        """Add an upstream, or update what the document says about it."""
+        known = self._views.get(upstream)
+        if known is None:
+            self._views[upstream] = UpstreamView(
+                upstream,
+                frozenset(models),
+                failure_domain,
+                slots,
+                candidate_seed(upstream),
+            )
+        else:
+            known.models = frozenset(models)
+            known.failure_domain = failure_domain
+            known.slots = slots
+        self._index()
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Forget an upstream that is no longer in the subset."""
+        if self._views.pop(upstream, None) is not None:
+            self._outliers.forget(upstream)
+            self._index()
+
+    def set_state(self, upstream: UpstreamId, state: UpstreamState) -> None:
+        """Record what membership and sessions say about an upstream."""
+        view = self._views.get(upstream)
+        if view is not None and view.state is not state:
+            view.state = state
+            self._invalidate()
+
+    def report(self, report: LoadReport, now: float) -> None:
+        """Take over a load report; `draining` stops new work at once."""
+        view = self._views.get(report.upstream)
+        if view is None:
+            return
+        view.reported = report.running + report.queued
+        view.others = max(0.0, view.reported - view.in_flight)
+        view.reported_at = now
+        view.slots = report.slots or view.slots
+        if report.draining:
+            self.set_state(report.upstream, UpstreamState.LEAVING)
+        elif view.state is UpstreamState.LEAVING:
+            self.set_state(report.upstream, UpstreamState.LIVE)
+
+    def started(self, upstream: UpstreamId) -> None:
+        """Count a request that was sent."""
+        view = self._views.get(upstream)
+        if view is not None:
+            view.in_flight += 1
+
+    def ended(self, upstream: UpstreamId) -> None:
+        """Count the end of a request, whatever it was."""
+        view = self._views.get(upstream)
+        if view is not None:
+            view.in_flight = max(0, view.in_flight - 1)
+
+    def observe(self, upstream: UpstreamId, seconds_per_token: float) -> None:
+        """Learn the speed of an upstream from an answer."""
+        self._outliers.success(upstream)
+        view = self._views.get(upstream)
+        if view is None or seconds_per_token <= 0:
+            return
+        if view.latency_s == 0.0:
+            view.latency_s = seconds_per_token
+        view.latency_s += _SMOOTHING * (seconds_per_token - view.latency_s)
+
+    def failed(self, upstream: UpstreamId, now: float) -> None:
+        """Record a failure that is the upstream's fault."""
+        if upstream in self._views and self._outliers.failure(
+            upstream, now, len(self._views)
+        ):
+            self._invalidate()
+
+    def usable(
+        self,
+        model: ModelName,
+        now: float,
+        excluded: Collection[UpstreamId] = (),
+    ) -> list[UpstreamView]:
+        """Return the upstreams of a model that may get new work."""
+        if now >= self._usable_until:
+            self._usable.clear()
+            self._usable_until = self._outliers.next_return(now)
+        found = self._usable.get(model)
+        if found is None:
+            found = self._usable[model] = self._select(model, now)
+        if excluded:
+            return [view for view in found if view.upstream not in excluded]
+        return found
+
+    def load(self, view: UpstreamView, now: float, mean_others: float = 0.0) -> float:
+        """Return the requests at an upstream, by own count and aged report.
+
+        An old report fades towards the mean of the others: fading towards zero would
+        send everything to the upstream that has not reported for longest.
+        """
+        age = max(0.0, now - view.reported_at)
+        weight = math.exp(-age / _REPORT_LIFE_S)
+        return view.in_flight + mean_others + weight * (view.others - mean_others)
+
+    def cost(self, view: UpstreamView, now: float, mean_others: float = 0.0) -> float:
+        """Return the expected time per slot that one more request would see."""
+        latency = view.latency_s or self._mean_latency()
+        return (self.load(view, now, mean_others) + 1) / view.slots * latency
+
+    def mean_others(self, views: list[UpstreamView]) -> float:
+        """Return the mean load by other entries in the last reports."""
+        return sum(view.others for view in views) / len(views) if views else 0.0
+
+    def _mean_latency(self) -> float:
+        known = [view.latency_s for view in self._views.values() if view.latency_s]
+        return sum(known) / len(known) if known else _FIRST_LATENCY_S
+
+    def _select(self, model: ModelName, now: float) -> list[UpstreamView]:
+        known = [
+            view
+            for view in self._by_model.get(model, ())
+            if view.state in (UpstreamState.LIVE, UpstreamState.SUSPECT)
+        ]
+        live = [view for view in known if view.state is UpstreamState.LIVE]
+        # When most of a set is suspect, the fault is likely on this side.
+        candidates = live if 2 * len(live) >= len(known) and live else known
+        healthy = [
+            view
+            for view in candidates
+            if not self._outliers.is_ejected(view.upstream, now)
+        ]
+        return healthy or candidates
+
+    def _index(self) -> None:
+        self._by_model.clear()
+        for view in self._views.values():
+            for model in view.models:
+                self._by_model.setdefault(model, []).append(view)
+        self._invalidate()
+
+    def _invalidate(self) -> None:
+        self._usable_until = -math.inf
