Count only work that goes before a request in the load of an upstream

Cause: in the fast form of the flood of the least urgent priority, entries sent urgent requests to the agent with the shortest queue of least urgent work, so one agent got most of them. Change: the load is counted by rank of priority, from own requests and from the expected wait in the report; reports are smoothed. Also refuse a second request of the same id, which made start_next loop for ever.

--- a/packages/admission/src/sardineyard/admission/lanes.py
+++ b/packages/admission/src/sardineyard/admission/lanes.py
@@ -87,6 +87,9 @@
     def __len__(self) -> int:
         return len(self._items)
 
+    def __contains__(self, request_id: RequestId) -> bool:
+        return request_id in self._items
+
     def __iter__(self) -> Iterator[Lane]:
         return iter(self._lanes.values())
 
--- a/packages/admission/src/sardineyard/admission/queue.py
+++ b/packages/admission/src/sardineyard/admission/queue.py
@@ -79,6 +79,9 @@
             work = replace(work, priority=lane.rule.name)
         account = lane.on_time.counters.account(work.team)
         kind = self._refusal(work, account, now)
+        if work.request_id in self._running or work.request_id in self._lanes:
+            # Two items of one id could not be told apart when one of them ends.
+            kind = ErrorKind.BAD_REQUEST
         if kind is not None:
             return Refused(work, kind)
         used = self._lanes.estimates.first_token_s(lane.rule.name)
--- a/packages/routing/src/sardineyard/routing/policies.py
+++ b/packages/routing/src/sardineyard/routing/policies.py
@@ -11,10 +11,10 @@
 from sardineyard.routing.subset import rendezvous_score
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
     from random import Random
 
-    from sardineyard.core.ids import FailureDomain, ModelName, UpstreamId
+    from sardineyard.core.ids import FailureDomain, ModelName, PriorityName, UpstreamId
     from sardineyard.routing.table import UpstreamTable, UpstreamView
 
 # Costs closer than this count as equal, and the nearer failure domain wins.
@@ -26,6 +26,7 @@
     """Ask for an upstream of a model."""
 
     model: ModelName
+    priority: PriorityName | None = None
     prompt: str = ""
     adapter: str = ""
     # Upstreams that were tried for this request already.
@@ -85,14 +86,19 @@
     views = table.usable(request.model, now, request.excluded)
     if len(views) < 2:
         return views[0] if views else None
-    others = table.mean_others(views)
+    rank = table.rank(request.priority)
+    others = table.mean_others(views, rank)
+
+    def cost(view: UpstreamView) -> float:
+        return table.cost(view, rank, now, others)
+
     key = _affinity_key(policy, request)
     if key is not None:
-        preferred = _preferred(policy, table, views, key, now, others)
+        preferred = _preferred(policy, views, key, cost)
         if preferred is not None:
             return preferred
     first, second = rng.sample(views, 2)
-    return _cheaper(policy, table, first, second, now, others)
+    return _cheaper(policy, first, second, cost)
 
 
 @choose.register(RoundRobin)
@@ -154,29 +160,22 @@
 
 def _preferred(
     policy: PowerOfTwo,
-    table: UpstreamTable,
     views: list[UpstreamView],
     key: bytes,
-    now: float,
-    others: float,
+    cost: Callable[[UpstreamView], float],
 ) -> UpstreamView | None:
     best = max(views, key=lambda view: rendezvous_score(key, view.seed))
-    costs = [table.cost(view, now, others) for view in views]
-    mean = sum(costs) / len(costs)
-    cost = table.cost(best, now, others)
-    return best if cost <= policy.load_bound * mean else None
+    mean = sum(cost(view) for view in views) / len(views)
+    return best if cost(best) <= policy.load_bound * mean else None
 
 
 def _cheaper(
     policy: PowerOfTwo,
-    table: UpstreamTable,
     first: UpstreamView,
     second: UpstreamView,
-    now: float,
-    others: float,
+    cost: Callable[[UpstreamView], float],
 ) -> UpstreamView:
-    one = table.cost(first, now, others)
-    two = table.cost(second, now, others)
+    one, two = cost(first), cost(second)
     if abs(one - two) <= _TIE * max(one, two):
         near = distance(policy.failure_domain, first.failure_domain)
         far = distance(policy.failure_domain, second.failure_domain)
--- a/packages/routing/src/sardineyard/routing/table.py
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from sardineyard.core.states import UpstreamState
@@ -11,14 +11,16 @@
 from sardineyard.routing.subset import candidate_seed
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Sequence
 
-    from sardineyard.core.ids import FailureDomain, ModelName, UpstreamId
+    from sardineyard.core.ids import FailureDomain, ModelName, PriorityName, UpstreamId
     from sardineyard.core.requests import LoadReport
 
 # Reports arrive every 500 ms; one that is four periods old says little.
 _REPORT_LIFE_S = 2.0
 _SMOOTHING = 0.1
+# One report shows a moment that has passed; its noise would send work to and fro.
+_REPORT_SMOOTHING = 0.5
 # Latency assumed before the first answer; only ratios between upstreams count.
 _FIRST_LATENCY_S = 0.02
 
@@ -34,10 +36,14 @@
     seed: int
     state: UpstreamState = UpstreamState.LIVE
     in_flight: int = 0
-    # Seconds per token; zero when no answer was seen.
+    # Own requests in flight by rank of priority, the most urgent first.
+    own: list[int] = field(default_factory=list)
+    # Seconds per token and per request; zero when no answer was seen.
     latency_s: float = 0.0
-    # Load at the last report that is not this entry's own.
-    others: float = 0.0
+    request_s: float = 0.0
+    # Load by other entries in the last reports that goes before a request of each
+    # rank of priority.
+    others: list[float] = field(default_factory=list)
     reported: int = 0
     reported_at: float = -math.inf
 
@@ -45,7 +51,12 @@
 class UpstreamTable:
     """Keep load, latency and health; the cost of a read depends on the subset only."""
 
-    def __init__(self, outliers: OutlierDetector | None = None) -> None:
+    def __init__(
+        self,
+        priorities: Sequence[PriorityName] = (),
+        outliers: OutlierDetector | None = None,
+    ) -> None:
+        self._ranks = {name: rank for rank, name in enumerate(priorities)}
         self._views: dict[UpstreamId, UpstreamView] = {}
         self._by_model: dict[ModelName, list[UpstreamView]] = {}
         self._outliers = outliers or OutlierDetector()
@@ -63,6 +74,16 @@
         """Return the detector of failing upstreams."""
         return self._outliers
 
+    @property
+    def _width(self) -> int:
+        return max(1, len(self._ranks))
+
+    def rank(self, priority: PriorityName | None) -> int:
+        """Return the place of a priority; an unknown one is the least urgent."""
+        if priority is None:
+            return self._width - 1
+        return self._ranks.get(priority, self._width - 1)
+
     def view(self, upstream: UpstreamId) -> UpstreamView | None:
         """Return what is known about one upstream."""
         return self._views.get(upstream)
@@ -87,6 +108,8 @@
                 failure_domain,
                 slots,
                 candidate_seed(upstream),
+                own=[0] * self._width,
+                others=[0.0] * self._width,
             )
         else:
             known.models = frozenset(models)
@@ -113,7 +136,15 @@
         if view is None:
             return
         view.reported = report.running + report.queued
-        view.others = max(0.0, view.reported - view.in_flight)
+        for name, rank in self._ranks.items() or ((None, 0),):
+            ahead = float(view.reported)
+            wait_s = None if name is None else report.expected_wait_s.get(name)
+            if wait_s is not None and view.request_s:
+                # The queue of less urgent work does not delay this priority.
+                waiting = wait_s * view.slots / view.request_s
+                ahead = report.running + min(float(report.queued), waiting)
+            new = max(0.0, ahead - self.own_ahead(view, rank))
+            view.others[rank] += _REPORT_SMOOTHING * (new - view.others[rank])
         view.reported_at = now
         view.slots = report.slots or view.slots
         if report.draining:
@@ -121,27 +152,41 @@
         elif view.state is UpstreamState.LEAVING:
             self.set_state(report.upstream, UpstreamState.LIVE)
 
-    def started(self, upstream: UpstreamId) -> None:
+    def started(
+        self, upstream: UpstreamId, priority: PriorityName | None = None
+    ) -> None:
         """Count a request that was sent."""
         view = self._views.get(upstream)
         if view is not None:
             view.in_flight += 1
+            view.own[self.rank(priority)] += 1
 
-    def ended(self, upstream: UpstreamId) -> None:
+    def ended(
+        self, upstream: UpstreamId, priority: PriorityName | None = None
+    ) -> None:
         """Count the end of a request, whatever it was."""
         view = self._views.get(upstream)
         if view is not None:
             view.in_flight = max(0, view.in_flight - 1)
+            rank = self.rank(priority)
+            view.own[rank] = max(0, view.own[rank] - 1)
 
-    def observe(self, upstream: UpstreamId, seconds_per_token: float) -> None:
-        """Learn the speed of an upstream from an answer."""
+    def observe(self, upstream: UpstreamId, seconds: float, tokens: int) -> None:
+        """Learn the speed of an upstream from an answer, without its wait."""
         self._outliers.success(upstream)
         view = self._views.get(upstream)
-        if view is None or seconds_per_token <= 0:
+        if view is None or seconds <= 0:
             return
+        per_token = seconds / max(1, tokens)
         if view.latency_s == 0.0:
-            view.latency_s = seconds_per_token
-        view.latency_s += _SMOOTHING * (seconds_per_token - view.latency_s)
+            view.latency_s = per_token
+            view.request_s = seconds
+        view.latency_s += _SMOOTHING * (per_token - view.latency_s)
+        view.request_s += _SMOOTHING * (seconds - view.request_s)
+
+    def own_ahead(self, view: UpstreamView, rank: int) -> int:
+        """Return the own requests at an upstream that go before a rank's next."""
+        return sum(view.own[: rank + 1])
 
     def failed(self, upstream: UpstreamId, now: float) -> None:
         """Record a failure that is the upstream's fault."""
@@ -167,7 +212,9 @@
             return [view for view in found if view.upstream not in excluded]
         return found
 
-    def load(self, view: UpstreamView, now: float, mean_others: float = 0.0) -> float:
+    def load(
+        self, view: UpstreamView, rank: int, now: float, mean_others: float
+    ) -> float:
         """Return the requests at an upstream, by own count and aged report.
 
         An old report fades towards the mean of the others: fading towards zero would
@@ -175,16 +222,21 @@
         """
         age = max(0.0, now - view.reported_at)
         weight = math.exp(-age / _REPORT_LIFE_S)
-        return view.in_flight + mean_others + weight * (view.others - mean_others)
+        others = mean_others + weight * (view.others[rank] - mean_others)
+        return self.own_ahead(view, rank) + others
 
-    def cost(self, view: UpstreamView, now: float, mean_others: float = 0.0) -> float:
+    def cost(
+        self, view: UpstreamView, rank: int, now: float, mean_others: float
+    ) -> float:
         """Return the expected time per slot that one more request would see."""
         latency = view.latency_s or self._mean_latency()
-        return (self.load(view, now, mean_others) + 1) / view.slots * latency
+        return (self.load(view, rank, now, mean_others) + 1) / view.slots * latency
 
-    def mean_others(self, views: list[UpstreamView]) -> float:
+    def mean_others(self, views: list[UpstreamView], rank: int) -> float:
         """Return the mean load by other entries in the last reports."""
-        return sum(view.others for view in views) / len(views) if views else 0.0
+        if not views:
+            return 0.0
+        return sum(view.others[rank] for view in views) / len(views)
 
     def _mean_latency(self) -> float:
         known = [view.latency_s for view in self._views.values() if view.latency_s]
