Fix the priority of the first queued request and round headroom down

Cause: an empty lane is false, so 'get(...) or last' put the first request of an idle priority into the least urgent lane. Change: compare with None; round the slots kept free down, since one of six slots costs a sixth of the capacity.

--- a/bench/workload.py
+++ b/bench/workload.py
@@ -150,10 +150,10 @@
     start = max(scenario.during_s, WARM_UP_S)
     for sample in samples:
         arrival = sample.arrival
-        if arrival.at_s < WARM_UP_S:
-            continue
         if sample.finished and start <= sample.finished_s < scenario.seconds:
             tokens[arrival.priority] += arrival.output_tokens
+        if arrival.at_s < WARM_UP_S:
+            continue
         part = targets[arrival.priority]
         met = sample.finished and (sample.first_token_s or 0.0) <= part.target_s
         if arrival.at_s < scenario.during_s:
--- a/packages/admission/src/sardineyard/admission/lanes.py
+++ b/packages/admission/src/sardineyard/admission/lanes.py
@@ -100,7 +100,9 @@
 
     def lane(self, priority: PriorityName) -> Lane:
         """Return one priority; an unknown one counts as the least urgent."""
-        return self._lanes.get(priority) or list(self._lanes.values())[-1]
+        lane = self._lanes.get(priority)
+        # An empty lane is false, so `or` would take the wrong one here.
+        return list(self._lanes.values())[-1] if lane is None else lane
 
     def add(self, item: Item) -> None:
         """Append work to its priority."""
@@ -130,7 +132,8 @@
         Slots are kept free only when more urgent work was seen lately and slots
         turn over too slowly for its target, so idle capacity is used otherwise.
         """
-        most = math.ceil(self._limits.slots * self._limits.headroom_share)
+        # Rounded down: one of six slots would cost a sixth of the capacity.
+        most = math.floor(self._limits.slots * self._limits.headroom_share)
         occupied = self._mean_occupancy_s(now)
         for lane in self:
             if lane.rule is rule:
