Put the admission queue to use in the scheduler of the agent

Cause: the first version served strictly by urgency, refused nothing early and searched the whole queue for each start. Change: the scheduler owns an AdmissionQueue, passes on its refusals, learns output and times from the calls and reports the expected wait by priority. The end of a call is posted by a callback, since a task that is cancelled before its first step never runs its finally block, and its slot stayed taken. A setting of the agent names the baseline.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -7,6 +7,8 @@
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
+from workload import Sample
+
 from sardineyard.admission.model import PriorityRule, QueueLimits, Refused, Work
 from sardineyard.admission.policies import FairShares, FirstComeFirstServed
 from sardineyard.admission.queue import AdmissionQueue
@@ -24,7 +26,6 @@
 from sardineyard.core.states import UpstreamState
 from sardineyard.routing import policies as routes
 from sardineyard.routing.table import UpstreamTable
-from workload import Sample
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/bench/run_decisions.py
+++ b/bench/run_decisions.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import argparse
+from typing import TYPE_CHECKING
 
 from decisions import Run
-from workload import SCENARIOS, Scenario, arrivals, load_scenario, measure, summary
+from workload import SCENARIOS, arrivals, load_scenario, measure, summary
+
+if TYPE_CHECKING:
+    from workload import Scenario
 
 
 def run_once(scenario: Scenario, combination: str, seed: int) -> dict[str, float]:
--- a/packages/admission/src/sardineyard/admission/estimates.py
+++ b/packages/admission/src/sardineyard/admission/estimates.py
@@ -35,6 +35,11 @@
     def __init__(self, priorities: Iterable[PriorityName]) -> None:
         self._observed = {name: _Observed() for name in priorities}
 
+    def adopt(self, other: Estimates) -> None:
+        """Take over what was learned under an earlier document."""
+        for name in self._observed.keys() & other._observed.keys():
+            self._observed[name] = other._observed[name]
+
     def output_tokens(self, work: Work) -> float:
         """Return the expected output of a request in tokens."""
         seen = self._observed[work.priority]
--- a/packages/admission/src/sardineyard/admission/lanes.py
+++ b/packages/admission/src/sardineyard/admission/lanes.py
@@ -8,16 +8,20 @@
 from sardineyard.admission.backlog import Backlog
 from sardineyard.admission.estimates import Estimates
 from sardineyard.admission.lazyheap import LazyHeap
+from sardineyard.admission.model import PriorityRule
 from sardineyard.admission.shares import ReservedShares
 from sardineyard.admission.teams import TeamCounters
+from sardineyard.core.ids import PriorityName
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
 
     from sardineyard.admission.backlog import Item
-    from sardineyard.admission.model import PriorityRule, QueueLimits
-    from sardineyard.core.ids import PriorityName, RequestId, TeamId
+    from sardineyard.admission.model import QueueLimits
+    from sardineyard.core.ids import RequestId, TeamId
 
+# Stands in until a document lists the priorities.
+_ONLY_RULE = PriorityRule(PriorityName("default"), 1.0)
 # One in a hundred urgent requests may miss its target; with slots that are freed
 # at random times the wait for one exceeds ln(100) mean gaps once in a hundred.
 _TAIL_GAPS = math.log(100)
@@ -74,14 +78,16 @@
         weights: Mapping[TeamId, float],
         limits: QueueLimits,
     ) -> None:
-        self._limits = limits
+        self.limits = limits
+        self._rules = tuple(rules) or (_ONLY_RULE,)
         self._weights = weights
         self._lanes = {
-            rule.name: Lane(rule, weights, limits.max_idle_teams) for rule in rules
+            rule.name: Lane(rule, weights, limits.max_idle_teams)
+            for rule in self._rules
         }
         self._arrivals: LazyHeap[RequestId] = LazyHeap()
         self._items: dict[RequestId, Item] = {}
-        self.shares = ReservedShares(rules)
+        self.shares = ReservedShares(self._rules)
         self.estimates = Estimates(self._lanes)
 
     def __len__(self) -> int:
@@ -93,6 +99,16 @@
     def __iter__(self) -> Iterator[Lane]:
         return iter(self._lanes.values())
 
+    def is_configured(
+        self, rules: Sequence[PriorityRule], weights: Mapping[TeamId, float]
+    ) -> bool:
+        """Return whether rules and weights are the ones in use."""
+        return self._rules == tuple(rules) and self._weights == weights
+
+    def items(self) -> list[Item]:
+        """Return the queued work in the order of its arrival."""
+        return sorted(self._items.values(), key=lambda item: item.sequence)
+
     @property
     def backlogged(self) -> list[PriorityName]:
         """Return the priorities that have queued work."""
@@ -133,16 +149,16 @@
         turn over too slowly for its target, so idle capacity is used otherwise.
         """
         # Rounded down: one of six slots would cost a sixth of the capacity.
-        most = math.floor(self._limits.slots * self._limits.headroom_share)
+        most = math.floor(self.limits.slots * self.limits.headroom_share)
         occupied = self._mean_occupancy_s(now)
         for lane in self:
             if lane.rule is rule:
                 return 0
             if self.estimates.used_slots(lane.rule.name, now) < 0.05:
                 continue
-            gap = occupied / self._limits.slots
+            gap = occupied / self.limits.slots
             if gap * _TAIL_GAPS > lane.rule.target_s * _WAIT_PART:
-                return min(most, self._limits.slots - 1)
+                return min(most, self.limits.slots - 1)
         return 0
 
     def expected_wait_s(
@@ -163,7 +179,7 @@
                 break
             ahead_s += len(lane.on_time) * service_s
             more_urgent += self.estimates.used_slots(name, now)
-        slots = self._limits.slots
+        slots = self.limits.slots
         left = max(1.0, slots - more_urgent)
         wait = ahead_s / slots + own_s / left
         reserved = self.shares.reserved(priority) * slots
--- a/packages/admission/src/sardineyard/admission/policies.py
+++ b/packages/admission/src/sardineyard/admission/policies.py
@@ -23,6 +23,16 @@
 
 Policy = FairShares | FirstComeFirstServed
 
+_POLICIES: dict[str, type[Policy]] = {
+    "fair_shares": FairShares,
+    "first_come": FirstComeFirstServed,
+}
+
+
+def policy_named(name: str) -> Policy:
+    """Return the policy that a setting names."""
+    return _POLICIES[name]()
+
 
 @singledispatch
 def choose(policy: object, lanes: Lanes, free_slots: int, now: float) -> Item | None:
--- a/packages/admission/src/sardineyard/admission/queue.py
+++ b/packages/admission/src/sardineyard/admission/queue.py
@@ -71,6 +71,28 @@
         found = self._expiry.first()
         return None if found is None else Deadline(found[0])
 
+    def configure(
+        self,
+        rules: Sequence[PriorityRule],
+        weights: Mapping[TeamId, float],
+        limits: QueueLimits,
+    ) -> None:
+        """Follow a new document; queued work keeps its order of arrival."""
+        unchanged = self._lanes.is_configured(rules, weights)
+        self._limits = limits
+        self._lanes.limits = limits
+        if unchanged:
+            return
+        before = self._lanes
+        self._lanes = Lanes(rules, weights, limits)
+        self._lanes.estimates.adopt(before.estimates)
+        for item in [*self._running.values(), *before.items()]:
+            lane = self._lanes.lane(item.work.priority)
+            item.work = replace(item.work, priority=lane.rule.name)
+            item.account = lane.on_time.counters.account(item.work.team)
+        for item in before.items():
+            self._lanes.add(item)
+
     def offer(self, work: Work) -> Queued | Refused:
         """Queue work, or refuse it when its deadline cannot be met."""
         now = self._clock.now()
@@ -80,8 +102,9 @@
         account = lane.on_time.counters.account(work.team)
         kind = self._refusal(work, account, now)
         if work.request_id in self._running or work.request_id in self._lanes:
-            # Two items of one id could not be told apart when one of them ends.
-            kind = ErrorKind.BAD_REQUEST
+            # Two items of one id could not be told apart when one of them ends;
+            # another agent can take the second one.
+            kind = ErrorKind.OVERLOADED
         if kind is not None:
             return Refused(work, kind)
         used = self._lanes.estimates.first_token_s(lane.rule.name)
--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -7,6 +7,7 @@
 
 from grpclib.server import Server
 
+from sardineyard.admission.policies import policy_named as admission_policy
 from sardineyard.agent.key_owner import KeyOwner
 from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
 from sardineyard.agent.scheduler import Scheduler
@@ -48,7 +49,12 @@
         upstream = UpstreamId(settings.upstream)
         incarnation = self._identity.incarnation
         self._scheduler = Scheduler(
-            upstream, incarnation, self._runner(), clock, self._measured
+            upstream,
+            incarnation,
+            self._runner(),
+            clock,
+            self._measured,
+            admission_policy(settings.admission),
         )
         self._key_owner = KeyOwner(self._scheduler.mailbox)
         self._sync = ConfigSync(
--- a/packages/agent/src/sardineyard/agent/messages.py
+++ b/packages/agent/src/sardineyard/agent/messages.py
@@ -44,6 +44,11 @@
     request_id: RequestId
 
 
+@dataclass(frozen=True, slots=True)
+class ExpiryDue:
+    """Tell the scheduler that queued work can no longer meet its deadline."""
+
+
 @dataclass(frozen=True, slots=True)
 class CancelRequest:
     """Ask the scheduler to stop a request."""
--- a/packages/agent/src/sardineyard/agent/scheduler.py
+++ b/packages/agent/src/sardineyard/agent/scheduler.py
@@ -3,41 +3,58 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, deque
-from dataclasses import replace
-from functools import singledispatchmethod
+from collections import Counter
+from dataclasses import dataclass, replace
+from functools import partial, singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
+from sardineyard.admission.model import QueueLimits, Refused
+from sardineyard.admission.queue import AdmissionQueue
 from sardineyard.agent.messages import (
     CallEnded,
     CancelRequest,
     Drain,
+    ExpiryDue,
     ReadLoad,
     ReadQueues,
     SessionClosed,
     Submit,
 )
 from sardineyard.agent.observe import MeasuredSink
+from sardineyard.agent.progress import Progress, to_rules, to_work
 from sardineyard.agent.runner_call import run_call
 from sardineyard.configsync.messages import DocumentAdopted
+from sardineyard.core.clock import NO_DEADLINE
 from sardineyard.core.errors import ErrorKind, RequestError
-from sardineyard.core.ids import PriorityName
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.requests import CallFailed, Generation, LoadReport
 from sardineyard.telemetry.state import QueueView
 
 if TYPE_CHECKING:
+    from sardineyard.admission.policies import Policy as AdmissionPolicy
     from sardineyard.core.clock import Clock
-    from sardineyard.core.ids import Incarnation, RequestId, UpstreamId
+    from sardineyard.core.ids import (
+        Incarnation,
+        PriorityName,
+        RequestId,
+        UpstreamId,
+    )
     from sardineyard.core.mailbox import Reply
     from sardineyard.runner import Runner
     from sardineyard.telemetry.metrics import AgentMetrics
 
-_DEFAULT_SLOTS = 32
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """Hold one call that has a slot."""
+
+    submit: Submit
+    task: asyncio.Task[None]
+    progress: Progress
 
 
 class Scheduler:
-    """Start calls on the upstream as slots become free, the most urgent first."""
+    """Own the admission queue and the calls that hold a slot of the upstream."""
 
     def __init__(
         self,
@@ -46,6 +63,7 @@
         runner: Runner,
         clock: Clock,
         metrics: AgentMetrics,
+        policy: AdmissionPolicy | None = None,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._upstream = upstream
@@ -53,24 +71,26 @@
         self._runner = runner
         self._clock = clock
         self._metrics = metrics
-        self._slots = _DEFAULT_SLOTS
-        self._urgency: dict[str, int] = {}
-        self._queued: deque[Submit] = deque()
-        self._running: dict[RequestId, tuple[Submit, asyncio.Task[None]]] = {}
+        self._queue = AdmissionQueue([], {}, clock, QueueLimits(), policy)
+        self._priorities: list[PriorityName] = []
+        self._queued: dict[RequestId, Submit] = {}
+        self._running: dict[RequestId, _Call] = {}
         self._document_version = 0
         self._drained: Reply[None] | None = None
+        self._expiry: asyncio.TimerHandle | None = None
 
     @property
     def open_requests(self) -> list[RequestId]:
         """Return the ids of the requests that wait or run."""
-        waiting = [submit.request.request_id for submit in self._queued]
-        return [*self._running, *waiting]
+        return [*self._running, *self._queued]
 
     async def run(self) -> None:
         """Handle messages for ever."""
         while True:
             self._handle(await self.mailbox.receive())
+            self._refuse_expired()
             self._start_calls()
+            self._watch_expiry()
             if self._drained is not None and not self.open_requests:
                 self._drained.send(None)
 
@@ -82,37 +102,48 @@
     def _submit(self, message: Submit) -> None:
         if self._drained is not None:
             _refuse(message, ErrorKind.DRAINING)
+            return
+        request = message.request
+        decision = self._queue.offer(to_work(request))
+        sink = MeasuredSink(message.sink, request.priority, self._metrics)
+        submit = replace(message, sink=sink, arrived=self._clock.now())
+        if isinstance(decision, Refused):
+            _refuse(submit, decision.kind)
         else:
-            priority = message.request.priority
-            sink = MeasuredSink(message.sink, priority, self._metrics)
-            arrived = self._clock.now()
-            self._queued.append(replace(message, sink=sink, arrived=arrived))
+            self._queued[request.request_id] = submit
+
+    @_handle.register(ExpiryDue)
+    def _expiry_due(self, message: ExpiryDue) -> None:
+        """Let the main loop refuse what is due."""
 
     @_handle.register(CallEnded)
     def _call_ended(self, message: CallEnded) -> None:
-        self._running.pop(message.request_id, None)
+        call = self._running.pop(message.request_id, None)
+        if call is not None:
+            progress = call.progress
+            self._queue.finish(
+                message.request_id,
+                progress.tokens,
+                complete=progress.complete,
+                first_token_s=progress.first_token_s,
+            )
 
     @_handle.register(CancelRequest)
     def _cancel(self, message: CancelRequest) -> None:
-        running = self._running.get(message.request_id)
-        if running is not None:
-            running[1].cancel()
-        self._queued = deque(
-            submit
-            for submit in self._queued
-            if submit.request.request_id != message.request_id
-        )
+        call = self._running.get(message.request_id)
+        if call is not None:
+            call.task.cancel()
+        self._remove(message.request_id)
 
     @_handle.register(SessionClosed)
     def _session_closed(self, message: SessionClosed) -> None:
-        for submit, task in self._running.values():
+        for call in self._running.values():
+            submit = call.submit
             if submit.session == message.session and _is_cancellable(submit):
-                task.cancel()
-        self._queued = deque(
-            submit
-            for submit in self._queued
-            if submit.session != message.session or not _is_cancellable(submit)
-        )
+                call.task.cancel()
+        for request_id, submit in list(self._queued.items()):
+            if submit.session == message.session and _is_cancellable(submit):
+                self._remove(request_id)
 
     @_handle.register(ReadLoad)
     def _read_load(self, message: ReadLoad) -> None:
@@ -123,28 +154,25 @@
                 draining=self._drained is not None,
                 running=len(self._running),
                 queued=len(self._queued),
-                slots=self._slots,
+                slots=self._queue.slots,
                 document_version=self._document_version,
+                expected_wait_s=self._queue.expected_waits(),
             )
         )
 
     @_handle.register(ReadQueues)
     def _read_queues(self, message: ReadQueues) -> None:
-        queued = Counter(submit.request.priority for submit in self._queued)
+        queued = Counter(submit.request.priority for submit in self._queued.values())
         running = Counter(
-            submit.request.priority for submit, _ in self._running.values()
+            call.submit.request.priority for call in self._running.values()
         )
         names = [
-            *self._urgency,
-            *(queued.keys() | running.keys()) - self._urgency.keys(),
+            *self._priorities,
+            *(queued.keys() | running.keys()) - set(self._priorities),
         ]
         message.reply.send(
             tuple(
-                QueueView(
-                    priority=PriorityName(name),
-                    queued=queued[PriorityName(name)],
-                    running=running[PriorityName(name)],
-                )
+                QueueView(priority=name, queued=queued[name], running=running[name])
                 for name in names
             )
         )
@@ -153,38 +181,54 @@
     def _document_adopted(self, message: DocumentAdopted) -> None:
         document = message.document
         self._document_version = document.version
-        self._urgency = {
-            priority.name: position
-            for position, priority in enumerate(document.priorities)
-        }
+        self._priorities = [priority.name for priority in document.priorities]
+        slots = self._queue.slots
         for upstream in document.upstreams:
             if upstream.id == self._upstream:
-                self._slots = upstream.slots
+                slots = upstream.slots
+        weights = {team.id: team.weight for team in document.teams}
+        limits = QueueLimits(slots=slots)
+        self._queue.configure(to_rules(document), weights, limits)
 
     @_handle.register(Drain)
     def _drain(self, message: Drain) -> None:
         self._drained = message.reply
 
     def _start_calls(self) -> None:
-        while self._queued and len(self._running) < self._slots:
-            submit = min(self._queued, key=self._urgency_of)
-            self._queued.remove(submit)
-            if submit.request.deadline <= self._clock.now():
-                _refuse(submit, ErrorKind.DEADLINE_UNREACHABLE)
-                continue
-            waited = self._clock.now() - submit.arrived
-            self._metrics.left_queue(submit.request.priority, waited)
-            task = asyncio.get_running_loop().create_task(self._run(submit))
-            self._running[submit.request.request_id] = (submit, task)
-
-    def _urgency_of(self, submit: Submit) -> int:
-        return self._urgency.get(submit.request.priority, len(self._urgency))
-
-    async def _run(self, submit: Submit) -> None:
-        try:
-            await run_call(self._runner, submit.request, submit.sink, self._clock)
-        finally:
-            self.mailbox.post(CallEnded(submit.request.request_id))
+        while (started := self._queue.start_next()) is not None:
+            request_id = started.work.request_id
+            submit = self._queued.pop(request_id)
+            now = self._clock.now()
+            self._metrics.left_queue(submit.request.priority, now - submit.arrived)
+            progress = Progress(submit.sink, self._clock, now)
+            task = asyncio.get_running_loop().create_task(
+                run_call(self._runner, submit.request, progress, self._clock)
+            )
+            # A callback also runs for a task that is cancelled before it starts.
+            task.add_done_callback(partial(self._task_done, request_id))
+            self._running[request_id] = _Call(submit, task, progress)
+
+    def _task_done(self, request_id: RequestId, task: asyncio.Task[None]) -> None:
+        self.mailbox.post(CallEnded(request_id))
+
+    def _refuse_expired(self) -> None:
+        for refused in self._queue.expire():
+            submit = self._queued.pop(refused.work.request_id)
+            _refuse(submit, refused.kind)
+
+    def _watch_expiry(self) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
+        due = self._queue.next_expiry
+        if due is not None and due < NO_DEADLINE:
+            delay = max(0.0, due - self._clock.now())
+            loop = asyncio.get_running_loop()
+            self._expiry = loop.call_later(delay, self.mailbox.offer, ExpiryDue())
+
+    def _remove(self, request_id: RequestId) -> None:
+        if self._queue.cancel(request_id) is not None:
+            del self._queued[request_id]
 
 
 def _refuse(submit: Submit, kind: ErrorKind) -> None:
--- a/packages/routing/src/sardineyard/routing/outliers.py
+++ b/packages/routing/src/sardineyard/routing/outliers.py
@@ -36,6 +36,11 @@
         record = self._records.get(upstream)
         return record is not None and record.until > now
 
+    def failures(self, upstream: UpstreamId) -> int:
+        """Return the consecutive failures since the last success or ejection."""
+        record = self._records.get(upstream)
+        return 0 if record is None else record.failures
+
     def ejected(self, now: float) -> list[UpstreamId]:
         """Return the upstreams that are ejected."""
         return [name for name, record in self._records.items() if record.until > now]
--- a/packages/routing/src/sardineyard/routing/policies.py
+++ b/packages/routing/src/sardineyard/routing/policies.py
@@ -62,6 +62,19 @@
 
 Policy = PowerOfTwo | RoundRobin | RandomChoice | LeastReportedLoad
 
+_BASELINES: dict[str, type[RoundRobin | RandomChoice | LeastReportedLoad]] = {
+    "round_robin": RoundRobin,
+    "random": RandomChoice,
+    "least_reported": LeastReportedLoad,
+}
+
+
+def policy_named(name: str, failure_domain: FailureDomain) -> Policy:
+    """Return the policy that a setting names."""
+    if name == "power_of_two":
+        return PowerOfTwo(failure_domain)
+    return _BASELINES[name]()
+
 
 @singledispatch
 def choose(
--- a/packages/routing/src/sardineyard/routing/quarantine.py
+++ b/packages/routing/src/sardineyard/routing/quarantine.py
@@ -13,9 +13,10 @@
     from collections.abc import Iterable
 
     from sardineyard.core.clock import Clock, Deadline
-    from sardineyard.core.ids import Fingerprint
+    from sardineyard.core.ids import Fingerprint, UpstreamId
 
 _CAPACITY = 10_000
+_SAME_CRASH_S = 1.0
 
 
 @unique
@@ -34,6 +35,9 @@
     fingerprint: Fingerprint
     crashes: int
     expires: Deadline
+    # Where and when the last crash of this process's own observation was.
+    place: UpstreamId | None = None
+    seen_at: float = 0.0
 
 
 class Quarantine:
@@ -66,10 +70,30 @@
             return Treatment.ISOLATED
         return Treatment.NORMAL
 
-    def crashed(self, running: Iterable[Fingerprint]) -> None:
-        """Suspect every fingerprint that was running at one crash, once each."""
+    def configure(self, limit: int, expiry_s: float) -> None:
+        """Use another limit and expiry for crashes from now on."""
+        self._limit = limit
+        self._expiry_s = expiry_s
+
+    def crashed(self, place: UpstreamId, running: Iterable[Fingerprint]) -> None:
+        """Suspect every fingerprint that was running when an upstream was lost.
+
+        The calls of one crash are reported one by one, so a second report of one
+        fingerprint from the same place within a second is the same crash.
+        """
+        now = self._clock.now()
         for fingerprint in set(running):
-            self._store(fingerprint, self._crashes(fingerprint) + 1)
+            crashes = self._crashes(fingerprint)
+            known = self._records.get(fingerprint)
+            if (
+                known is not None
+                and known.place == place
+                and now - known.seen_at < _SAME_CRASH_S
+            ):
+                continue
+            expires = deadline_after(self._clock, self._expiry_s)
+            record = CrashRecord(fingerprint, crashes + 1, expires, place, now)
+            _put(self._records, record, self._capacity)
 
     def succeeded(self, fingerprint: Fingerprint) -> None:
         """Clear a fingerprint whose request finished."""
@@ -109,11 +133,6 @@
             return 0
         return record.crashes
 
-    def _store(self, fingerprint: Fingerprint, crashes: int) -> None:
-        expires = deadline_after(self._clock, self._expiry_s)
-        record = CrashRecord(fingerprint, crashes, expires)
-        _put(self._records, record, self._capacity)
-
 
 def _put(
     records: OrderedDict[Fingerprint, CrashRecord], record: CrashRecord, capacity: int
--- a/packages/routing/src/sardineyard/routing/retries.py
+++ b/packages/routing/src/sardineyard/routing/retries.py
@@ -17,26 +17,16 @@
 # can still move its requests away from a lost upstream.
 _MINIMUM = 10
 
-# Refusals that another upstream would repeat word for word.
-_FINAL = frozenset(
+# Another upstream may answer these although this one did not.
+_OTHER_UPSTREAM_MAY_HELP = frozenset(
     {
-        ErrorKind.BAD_REQUEST,
-        ErrorKind.HEAD_TOO_LARGE,
-        ErrorKind.BODY_TOO_LARGE,
-        ErrorKind.REQUEST_TIMEOUT,
-        ErrorKind.UNAUTHENTICATED,
-        ErrorKind.UNKNOWN_PRIORITY,
-        ErrorKind.NOT_FOUND,
-        ErrorKind.METHOD_NOT_ALLOWED,
-        ErrorKind.KEY_REQUIRED,
-        ErrorKind.KEY_INVALID,
-        ErrorKind.KEY_CONFLICT,
-        ErrorKind.KEY_UNCERTAIN,
-        ErrorKind.ANSWER_EVICTED,
-        ErrorKind.TOO_MANY_REQUESTS,
-        ErrorKind.QUARANTINED,
-        ErrorKind.CANCELLED,
-        ErrorKind.DEADLINE_EXCEEDED,
+        ErrorKind.NO_UPSTREAM,
+        ErrorKind.DRAINING,
+        ErrorKind.OVERLOADED,
+        ErrorKind.DEADLINE_UNREACHABLE,
+        ErrorKind.STALE_INCARNATION,
+        ErrorKind.UPSTREAM_LOST,
+        ErrorKind.UPSTREAM_PROTOCOL,
     }
 )
 
@@ -55,7 +45,7 @@
 
     def __init__(self, clock: Clock, share: float, minimum: int = _MINIMUM) -> None:
         self._clock = clock
-        self._share = share
+        self.share = share
         self._minimum = minimum
         # Successes and retries by whole second.
         self._seconds: deque[list[float]] = deque()
@@ -66,7 +56,7 @@
         self._drop_old()
         successes = sum(second[1] for second in self._seconds)
         retries = sum(second[2] for second in self._seconds)
-        return max(self._minimum, self._share * successes) - retries
+        return max(self._minimum, self.share * successes) - retries
 
     def succeeded(self) -> None:
         """Count a request that succeeded."""
@@ -99,10 +89,16 @@
         self._entry = RetryBudget(clock, share, minimum)
         self._hops = {hop: RetryBudget(clock, share, minimum) for hop in Hop}
 
-    def succeeded(self, hop: Hop = Hop.ENTRY_TO_AGENT) -> None:
-        """Count a request that succeeded."""
+    def configure(self, share: float) -> None:
+        """Use another share of the successes."""
+        for budget in (self._entry, *self._hops.values()):
+            budget.share = share
+
+    def succeeded(self, *hops: Hop) -> None:
+        """Count a request that succeeded over some hops."""
         self._entry.succeeded()
-        self._hops[hop].succeeded()
+        for hop in hops:
+            self._hops[hop].succeeded()
 
     def take(self, hop: Hop) -> bool:
         """Use one retry when both the entry and the hop have one left."""
@@ -119,6 +115,6 @@
     error: RequestError, *, repeatable: bool, clock: Clock, deadline: Deadline
 ) -> bool:
     """Return whether another try is safe and can still be of use."""
-    if error.kind in _FINAL or clock.now() >= deadline:
+    if error.kind not in _OTHER_UPSTREAM_MAY_HELP or clock.now() >= deadline:
         return False
     return error.outcome is Outcome.NOT_RUN or repeatable
--- a/packages/routing/src/sardineyard/routing/table.py
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -161,9 +161,7 @@
             view.in_flight += 1
             view.own[self.rank(priority)] += 1
 
-    def ended(
-        self, upstream: UpstreamId, priority: PriorityName | None = None
-    ) -> None:
+    def ended(self, upstream: UpstreamId, priority: PriorityName | None = None) -> None:
         """Count the end of a request, whatever it was."""
         view = self._views.get(upstream)
         if view is not None:
@@ -230,7 +228,11 @@
     ) -> float:
         """Return the expected time per slot that one more request would see."""
         latency = view.latency_s or self._mean_latency()
-        return (self.load(view, rank, now, mean_others) + 1) / view.slots * latency
+        load = self.load(view, rank, now, mean_others)
+        # An upstream that fails at once looks idle, so failures count as load; with
+        # two upstreams the cap leaves no room to eject one.
+        failures = self._outliers.failures(view.upstream)
+        return (load + 1) * (1 + failures) / view.slots * latency
 
     def mean_others(self, views: list[UpstreamView], rank: int) -> float:
         """Return the mean load by other entries in the last reports."""
--- a/packages/settings/src/sardineyard/settings/processes.py
+++ b/packages/settings/src/sardineyard/settings/processes.py
@@ -26,6 +26,8 @@
 _SECONDS = "a positive number of seconds"
 _KINDS = ", ".join(kind.value for kind in UpstreamKind)
 _NAME = "letters, digits, dots, dashes and underscores"
+_ROUTING = ("power_of_two", "round_robin", "random", "least_reported")
+_ADMISSION = ("fair_shares", "first_come")
 _LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -49,6 +51,7 @@
     """Hold the settings of an entry."""
 
     caller_address: Address
+    routing: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +61,7 @@
     upstream: str
     upstream_kind: UpstreamKind
     upstream_address: Address
+    admission: str
 
 
 _PROCESS_OPTIONS: dict[str, Option[Any]] = {
@@ -148,6 +152,14 @@
         help="Where to listen for callers.",
         example="127.0.0.1:8080",
     ),
+    "routing": Option(
+        "entry",
+        "routing",
+        parsers.one_of(*_ROUTING),
+        ", ".join(_ROUTING),
+        _ROUTING[0],
+        help="How an upstream is chosen; the others than the default are baselines.",
+    ),
 }
 # Both examples can run on one machine.
 _AGENT_EXAMPLES = {
@@ -187,6 +199,14 @@
         help="Where the upstream listens.",
         example="127.0.0.1:8000",
     ),
+    "admission": Option(
+        "agent",
+        "admission",
+        parsers.one_of(*_ADMISSION),
+        ", ".join(_ADMISSION),
+        _ADMISSION[0],
+        help="How queued work is ordered; first_come is a baseline.",
+    ),
 }
 # Every one of them is bound when the process starts.
 _LISTENING = ("caller_address", "admin_address", "peer_address")
