Put the routing library to use in the router of the entry

Cause: the first version counted own requests only, linked every entry to every agent, took retries from a bucket without a window and had no quarantine. Change: RouteState holds table, policy, budgets and quarantine and the Router task owns it; sessions go to a subset per model and to all upstreams of services; an upstream without a session gets no work; retries need a safe error, time and budget of the entry and of the hop. A setting of the entry names the baselines.

--- a/packages/entry/src/sardineyard/entry/attempts.py
+++ b/packages/entry/src/sardineyard/entry/attempts.py
@@ -27,7 +27,7 @@
     def __init__(
         self, router: Mailbox[Any], clock: Clock, metrics: EntryMetrics
     ) -> None:
-        self._router = RouterClient(router, metrics)
+        self._router = RouterClient(router, clock, metrics)
         self._clock = clock
 
     def generate(self, request: Generation) -> AsyncGenerator[GenerationStep, None]:
--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -25,6 +25,7 @@
 from sardineyard.entry.services import ServiceFront
 from sardineyard.httpio.messages import HttpLimits
 from sardineyard.httpio.server import HttpServer
+from sardineyard.routing.policies import policy_named
 from sardineyard.telemetry.metrics import EntryMetrics
 from sardineyard.telemetry.state import EntryDump
 from sardineyard.wire.control import Hello
@@ -52,7 +53,13 @@
         self._clock = clock
         self._started = clock.now()
         self._measured = EntryMetrics(settings.process)
-        self._router = Router(hello, clock, Random(), self._measured)
+        self._router = Router(
+            hello,
+            clock,
+            Random(),
+            self._measured,
+            policy_named(settings.routing, self._identity.failure_domain),
+        )
         self._sync = ConfigSync(
             PeerMember(
                 self._identity.process,
--- a/packages/entry/src/sardineyard/entry/generation_run.py
+++ b/packages/entry/src/sardineyard/entry/generation_run.py
@@ -21,7 +21,7 @@
 from sardineyard.core.states import FinishReason
 from sardineyard.entry.assembler import AnswerAssembler, AssemblyState
 from sardineyard.entry.messages import AttemptEnded, CancelRequest, StartRequest
-from sardineyard.entry.router_client import MAX_ATTEMPTS, OTHER_UPSTREAM_MAY_HELP
+from sardineyard.entry.router_client import MAX_ATTEMPTS
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -94,9 +94,10 @@
                 if isinstance(step, Finished):
                     return
             self._excluded |= {pick.upstream}
-            if self._error.kind not in OTHER_UPSTREAM_MAY_HELP:
-                break
-            if not await self._router.may_retry(self._error):
+            # A generation has no effect but its tokens, so it may be repeated.
+            if not await self._router.may_retry(
+                self._error, self._request.deadline, repeatable=True
+            ):
                 break
         yield self._error
 
@@ -131,8 +132,16 @@
             if not self._is_whole:
                 pick.link.offer(CancelRequest(self._request.request_id))
             error = None if self._is_whole else self._error
+            waited = first_token_s or 0.0
             self._router.ended(
-                AttemptEnded(pick.upstream, self._request, error, first_token_s)
+                AttemptEnded(
+                    pick.upstream,
+                    self._request,
+                    error,
+                    first_token_s,
+                    service_s=self._clock.now() - started - waited,
+                    tokens=len(self._delivered) - len(attempt.resume_tokens),
+                )
             )
 
     @property
--- a/packages/entry/src/sardineyard/entry/messages.py
+++ b/packages/entry/src/sardineyard/entry/messages.py
@@ -91,12 +91,16 @@
     request: Generation | ServiceCall
     error: RequestError | None = None
     first_token_s: float | None = None
+    # Seconds in which the tokens came, without the wait before the first one.
+    service_s: float = 0.0
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class AskRetry:
     """Ask the router whether the retry budget allows another attempt."""
 
+    cause: RequestError
     reply: Reply[bool]
 
 
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -7,14 +7,9 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
-import xxhash
-from returns.result import Failure, Success
-
 from sardineyard.configsync.messages import DocumentAdopted
 from sardineyard.core.address import parse_address
-from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.mailbox import Mailbox
-from sardineyard.core.requests import Generation, ServiceCall
 from sardineyard.core.states import UpstreamState
 from sardineyard.entry.agent_link import AgentLink
 from sardineyard.entry.messages import (
@@ -27,45 +22,34 @@
     Pick,
     PickUpstream,
 )
+from sardineyard.entry.route_state import RouteState
 from sardineyard.telemetry.state import UpstreamView
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
     from random import Random
 
-    from returns.result import Result
-
     from sardineyard.core.clock import Clock
     from sardineyard.core.control import ControlMeter
-    from sardineyard.core.ids import Incarnation, ServiceName, UpstreamId
+    from sardineyard.core.ids import Incarnation, UpstreamId
     from sardineyard.core.requests import LoadReport
-    from sardineyard.document.model import Service, Upstream
+    from sardineyard.document.model import Upstream
+    from sardineyard.routing.policies import Policy as RoutingPolicy
     from sardineyard.wire.control import Hello
 
-_RETRY_TOKENS_PER_SUCCESS = 0.1
-_MAX_RETRY_TOKENS = 10.0
-
 
 @dataclass(slots=True)
 class _Known:
-    """Hold what the router knows about one upstream."""
+    """Hold the link to one agent."""
 
     upstream: Upstream
     link: AgentLink
     task: asyncio.Task[None]
     incarnation: Incarnation | None = None
-    in_flight: int = 0
     load: LoadReport | None = None
 
-    @property
-    def usable(self) -> bool:
-        """Return whether new work may go to the upstream."""
-        draining = self.load is not None and self.load.draining
-        return self.incarnation is not None and not draining
-
 
 class Router:
-    """Choose upstreams by power of two choices and own the links to their agents."""
+    """Own what is known about the upstreams and the links to their agents."""
 
     def __init__(
         self,
@@ -73,6 +57,7 @@
         clock: Clock,
         random: Random,
         meter: ControlMeter,
+        policy: RoutingPolicy,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._hello = hello
@@ -80,8 +65,7 @@
         self._random = random
         self._meter = meter
         self._known: dict[UpstreamId, _Known] = {}
-        self._services: dict[ServiceName, Service] = {}
-        self._retry_tokens = _MAX_RETRY_TOKENS
+        self._routes = RouteState(hello.process, policy, clock, random)
 
     async def run(self) -> None:
         """Handle messages for ever."""
@@ -98,9 +82,8 @@
 
     @_handle.register(DocumentAdopted)
     def _document_adopted(self, message: DocumentAdopted) -> None:
-        document = message.document
-        self._services = {service.name: service for service in document.services}
-        wanted = {upstream.id: upstream for upstream in document.upstreams}
+        upstreams = self._routes.adopt(message.document)
+        wanted = {upstream.id: upstream for upstream in upstreams}
         for upstream_id, known in list(self._known.items()):
             replacement = wanted.get(upstream_id)
             if (
@@ -117,38 +100,28 @@
 
     @_handle.register(PickUpstream)
     def _pick_upstream(self, message: PickUpstream) -> None:
-        picked = self._pick(message.request, message.excluded)
-        match picked:
-            case Success(known):
-                known.in_flight += 1
-                assert known.incarnation is not None
-                pick = Pick(known.upstream.id, known.incarnation, known.link.mailbox)
-                message.reply.send(Success(pick))
-            case Failure(error):
-                message.reply.send(Failure(error))
+        picked = self._routes.pick(message.request, message.excluded)
+        message.reply.send(picked.map(self._to_pick))
+
+    def _to_pick(self, upstream: UpstreamId) -> Pick:
+        known = self._known[upstream]
+        assert known.incarnation is not None
+        return Pick(upstream, known.incarnation, known.link.mailbox)
 
     @_handle.register(AttemptEnded)
     def _attempt_ended(self, message: AttemptEnded) -> None:
-        known = self._known.get(message.upstream)
-        if known is not None:
-            known.in_flight = max(0, known.in_flight - 1)
-        if message.error is None:
-            self._retry_tokens = min(
-                _MAX_RETRY_TOKENS, self._retry_tokens + _RETRY_TOKENS_PER_SUCCESS
-            )
+        self._routes.ended(message)
 
     @_handle.register(AskRetry)
     def _ask_retry(self, message: AskRetry) -> None:
-        allowed = self._retry_tokens >= 1.0
-        if allowed:
-            self._retry_tokens -= 1.0
-        message.reply.send(allowed)
+        message.reply.send(self._routes.may_retry(message.cause))
 
     @_handle.register(LinkUp)
     def _link_up(self, message: LinkUp) -> None:
         known = self._known.get(message.upstream)
         if known is not None:
             known.incarnation = message.incarnation
+            self._routes.table.set_state(message.upstream, UpstreamState.LIVE)
 
     @_handle.register(LinkDown)
     def _link_down(self, message: LinkDown) -> None:
@@ -156,16 +129,18 @@
         if known is not None:
             known.incarnation = None
             known.load = None
+            self._routes.table.set_state(message.upstream, UpstreamState.GONE)
 
     @_handle.register(LoadReceived)
     def _load_received(self, message: LoadReceived) -> None:
         known = self._known.get(message.load.upstream)
-        if known is not None:
+        if known is not None and known.incarnation is not None:
             known.load = message.load
+            self._routes.table.report(message.load, self._clock.now())
 
     @_handle.register(DumpRouter)
     def _dump(self, message: DumpRouter) -> None:
-        message.reply.send(tuple(_view(known) for known in self._known.values()))
+        message.reply.send(tuple(self._view(known) for known in self._known.values()))
 
     def _add(self, upstream: Upstream) -> None:
         link = AgentLink(
@@ -181,58 +156,23 @@
             link.run(), name=f"agent-link-{upstream.id}"
         )
         self._known[upstream.id] = _Known(upstream, link, task)
-
-    def _pick(
-        self, request: Generation | ServiceCall, excluded: frozenset[UpstreamId]
-    ) -> Result[_Known, RequestError]:
-        if isinstance(request, ServiceCall) and request.idempotency_key is not None:
-            return self._pick_owner(request)
-        candidates = [
-            known
-            for known in self._candidates(request)
-            if known.usable and known.upstream.id not in excluded
-        ]
-        if not candidates:
-            return Failure(RequestError(ErrorKind.NO_UPSTREAM))
-        pair = self._random.sample(candidates, min(2, len(candidates)))
-        return Success(min(pair, key=lambda known: known.in_flight))
-
-    def _pick_owner(self, request: ServiceCall) -> Result[_Known, RequestError]:
-        service = self._services[request.service]
-        tail = f"\0{request.team}\0{request.service}\0{request.idempotency_key}"
-        owner = max(
-            service.upstreams,
-            key=lambda upstream: xxhash.xxh3_64_intdigest(f"{upstream}{tail}".encode()),
+        # No work goes there until the agent answers.
+        self._routes.table.set_state(upstream.id, UpstreamState.GONE)
+
+    def _view(self, known: _Known) -> UpstreamView:
+        load = known.load
+        routed = self._routes.table.view(known.upstream.id)
+        if known.incarnation is None or routed is None:
+            state = UpstreamState.SUSPECT
+        else:
+            state = routed.state
+        return UpstreamView(
+            upstream=known.upstream.id,
+            state=state,
+            in_flight=routed.in_flight if routed else 0,
+            connected=known.incarnation is not None,
+            incarnation=known.incarnation,
+            queued=load.queued if load else 0,
+            running=load.running if load else 0,
+            latency_s=routed.latency_s if routed else 0.0,
         )
-        known = self._known.get(owner)
-        if known is None or not known.usable:
-            return Failure(RequestError(ErrorKind.OWNER_UNAVAILABLE))
-        return Success(known)
-
-    def _candidates(self, request: Generation | ServiceCall) -> Iterable[_Known]:
-        if isinstance(request, Generation):
-            return [
-                known
-                for known in self._known.values()
-                if request.model in known.upstream.models
-            ]
-        service = self._services.get(request.service)
-        upstreams = service.upstreams if service else ()
-        return [self._known[name] for name in upstreams if name in self._known]
-
-
-def _view(known: _Known) -> UpstreamView:
-    load = known.load
-    if known.incarnation is None:
-        state = UpstreamState.SUSPECT
-    else:
-        state = UpstreamState.LIVE if known.usable else UpstreamState.LEAVING
-    return UpstreamView(
-        upstream=known.upstream.id,
-        state=state,
-        in_flight=known.in_flight,
-        connected=known.incarnation is not None,
-        incarnation=known.incarnation,
-        queued=load.queued if load else 0,
-        running=load.running if load else 0,
-    )
--- a/packages/entry/src/sardineyard/entry/router_client.py
+++ b/packages/entry/src/sardineyard/entry/router_client.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
-from sardineyard.core.errors import ErrorKind
 from sardineyard.core.mailbox import Reply
 from sardineyard.entry.messages import AskRetry, PickUpstream
+from sardineyard.routing.retries import is_retryable
 
 if TYPE_CHECKING:
     from returns.result import Result
 
+    from sardineyard.core.clock import Clock, Deadline
     from sardineyard.core.errors import RequestError
     from sardineyard.core.ids import UpstreamId
     from sardineyard.core.mailbox import Mailbox
@@ -20,24 +21,14 @@
 
 MAX_ATTEMPTS = 4
 
-# Another upstream may answer these although this one did not.
-OTHER_UPSTREAM_MAY_HELP = frozenset(
-    {
-        ErrorKind.NO_UPSTREAM,
-        ErrorKind.DRAINING,
-        ErrorKind.OVERLOADED,
-        ErrorKind.DEADLINE_UNREACHABLE,
-        ErrorKind.STALE_INCARNATION,
-        ErrorKind.UPSTREAM_LOST,
-        ErrorKind.UPSTREAM_PROTOCOL,
-    }
-)
-
 
 class RouterClient:
     """Ask the router by messages and wait for its replies."""
 
-    def __init__(self, mailbox: Mailbox[Any], metrics: EntryMetrics) -> None:
+    def __init__(
+        self, mailbox: Mailbox[Any], clock: Clock, metrics: EntryMetrics
+    ) -> None:
+        self._clock = clock
         self._mailbox = mailbox
         self._metrics = metrics
 
@@ -49,10 +40,16 @@
         self._mailbox.post(PickUpstream(request, reply, excluded))
         return await reply.wait()
 
-    async def may_retry(self, cause: RequestError) -> bool:
-        """Return whether the retry budget allows another attempt after an error."""
+    async def may_retry(
+        self, cause: RequestError, deadline: Deadline, *, repeatable: bool
+    ) -> bool:
+        """Return whether another attempt is safe, useful and in the budget."""
+        if not is_retryable(
+            cause, repeatable=repeatable, clock=self._clock, deadline=deadline
+        ):
+            return False
         reply: Reply[bool] = Reply()
-        self._mailbox.post(AskRetry(reply))
+        self._mailbox.post(AskRetry(cause, reply))
         allowed = await reply.wait()
         if allowed:
             self._metrics.retried(cause.kind)
--- a/packages/entry/src/sardineyard/entry/service_run.py
+++ b/packages/entry/src/sardineyard/entry/service_run.py
@@ -9,11 +9,11 @@
 from returns.result import Failure, Success
 
 from sardineyard.core.clock import remaining
-from sardineyard.core.errors import ErrorKind, Outcome, RequestError
+from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.requests import CallFailed, ServiceAnswer
 from sardineyard.entry.messages import AttemptEnded, CancelRequest, StartRequest
-from sardineyard.entry.router_client import MAX_ATTEMPTS, OTHER_UPSTREAM_MAY_HELP
+from sardineyard.entry.router_client import MAX_ATTEMPTS
 
 if TYPE_CHECKING:
     from returns.result import Result
@@ -57,6 +57,7 @@
     async def _attempt(self, pick: Pick) -> Result[ServiceAnswer, RequestError]:
         request = replace(self._request, incarnation=pick.incarnation)
         events: Mailbox[CallEvent] = Mailbox()
+        started = self._clock.now()
         pick.link.post(StartRequest(request, events))
         error: RequestError | None = RequestError(ErrorKind.CANCELLED)
         try:
@@ -74,11 +75,14 @@
         finally:
             if error is not None:
                 pick.link.offer(CancelRequest(request.request_id))
-            self._router.ended(AttemptEnded(pick.upstream, request, error))
+            took = self._clock.now() - started
+            self._router.ended(
+                AttemptEnded(pick.upstream, request, error, service_s=took, tokens=1)
+            )
         return Failure(error)
 
     async def _may_retry(self, error: RequestError) -> bool:
-        safe = error.outcome is Outcome.NOT_RUN or self._request.repeatable
-        if not safe or error.kind not in OTHER_UPSTREAM_MAY_HELP:
-            return False
-        return await self._router.may_retry(error)
+        request = self._request
+        return await self._router.may_retry(
+            error, request.deadline, repeatable=request.repeatable
+        )
--- a/packages/routing/src/sardineyard/routing/table.py
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -74,6 +74,17 @@
         """Return the detector of failing upstreams."""
         return self._outliers
 
+    def set_priorities(self, priorities: Sequence[PriorityName]) -> None:
+        """Follow the priorities of a document, the most urgent first."""
+        ranks = {name: rank for rank, name in enumerate(priorities)}
+        if ranks == self._ranks:
+            return
+        self._ranks = ranks
+        for view in self._views.values():
+            # Counts of open requests restart; their ends are never below zero.
+            view.own = [0] * self._width
+            view.others = [0.0] * self._width
+
     @property
     def _width(self) -> int:
         return max(1, len(self._ranks))
