Keep the slots of urgent work by its mean use instead of a fixed share

Change: more urgent work keeps its mean use of slots plus half its square root. Also add the scenario runner against processes, and count output in a window by the time in which it was produced.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -240,7 +240,8 @@
         sample, index, _ = found
         tokens = sample.arrival.output_tokens
         sample.finished = True
-        sample.finished_s = self._clock.now()
+        sample.tokens = tokens
+        sample.last_s = self._clock.now()
         agent.queue.finish(RequestId(key), tokens, first_token_s=took / tokens)
         priority = PriorityName(sample.arrival.priority)
         self._tables[index].ended(agent.id, priority)
--- /dev/null
+++ b/bench/fleet_run.py
@@ -0,0 +1,218 @@
+"""Run one scenario against running processes."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from workload import Sample, arrivals, measure
+
+from sardineyard.httpio.client import ClientConnection, ResponseError, fetch
+from sardineyard.httpio.messages import HttpRequest
+from sardineyard.standins.fleet import MODEL, Fleet, FleetSpec
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from workload import Arrival, Fault, Scenario
+
+# Name of a combination -> settings of the entries and of the agents.
+COMBINATIONS = {
+    "policy": ("power_of_two", "fair_shares"),
+    "first_come": ("power_of_two", "first_come"),
+    "round_robin": ("round_robin", "fair_shares"),
+    "random": ("random", "fair_shares"),
+    "least_reported": ("least_reported", "fair_shares"),
+}
+# Time to the first token that a runner saves when it has a prompt's prefix.
+_PREFILL_S = 0.2
+_CACHED_PREFIXES = 8
+
+
+class ScenarioFleet(Fleet):
+    """Start the fleet of a scenario with one combination of policies."""
+
+    def __init__(self, scenario: Scenario, combination: str, folder: Path) -> None:
+        spec = FleetSpec(
+            entries=scenario.entries,
+            model_runners=scenario.agents,
+            booking_runners=0,
+            slots=scenario.slots,
+            token_interval_s=scenario.token_s,
+            prefill_s=_PREFILL_S if _has_prefixes(scenario) else 0.0,
+            drain_timeout_s=0.5,
+        )
+        super().__init__(spec, folder)
+        self._scenario = scenario
+        self._routing, self._admission = COMBINATIONS[combination]
+
+    def first_document(self) -> dict[str, Any]:
+        """Return the document with the priorities and teams of the scenario."""
+        document = super().first_document()
+        document["priorities"] = [
+            {
+                "name": part.name,
+                "first_token_target_s": part.target_s,
+                "finish_target_s": 10 * part.target_s,
+                "worth": part.worth,
+                "reserved_share": part.reserved_share,
+            }
+            for part in self._scenario.priorities
+        ]
+        first = self._scenario.priorities[0].name
+        document["teams"] = [
+            {
+                "id": team,
+                "key_sha256": hashlib.sha256(_key(team).encode()).hexdigest(),
+                "default_priority": first,
+                "max_in_flight": 100_000,
+            }
+            for team in sorted({load.team for load in self._scenario.loads})
+        ]
+        return document
+
+    def _add_daemon(self, name: str, role: str, section: dict[str, str]) -> None:
+        policy = (
+            {"routing": self._routing}
+            if role == "entry"
+            else {"admission": self._admission}
+        )
+        super()._add_daemon(name, role, {**section, **policy})
+
+    async def inject(self, fault: Fault) -> None:
+        """Bring one fault into the running fleet."""
+        match fault.kind:
+            case "slow":
+                runner = self.model_upstreams[fault.index]
+                slower = self._scenario.token_s * fault.factor
+                await self.control(runner, {"token_interval_s": slower})
+            case "agent_gone":
+                self.processes[f"agent-{self.model_upstreams[fault.index]}"].kill()
+            case "entry_gone":
+                self.processes[self.entries[-1]].kill()
+            case other:
+                raise ValueError(f"unknown fault {other}")
+
+    async def control(self, runner: str, change: dict[str, Any]) -> None:
+        """Change the speed or the size of a model runner."""
+        body = msgspec.json.encode(change)
+        request = HttpRequest("POST", "/control", {}, body)
+        await fetch(self.runners[runner], request, 5.0)
+
+
+def run_once(
+    scenario: Scenario, combination: str, seed: int, teams: Sequence[str] | None = None
+) -> dict[str, float]:
+    """Start a fleet, run the scenario once, stop the fleet, return the figures."""
+    return asyncio.run(_run(scenario, combination, seed, teams))
+
+
+async def _run(
+    scenario: Scenario, combination: str, seed: int, teams: Sequence[str] | None
+) -> dict[str, float]:
+    samples = [Sample(arrival) for arrival in arrivals(scenario, seed, teams)]
+    with tempfile.TemporaryDirectory(prefix="sardineyard-scenario-") as folder:
+        async with ScenarioFleet(scenario, combination, Path(folder)) as fleet:
+            if _has_prefixes(scenario):
+                for runner in fleet.model_upstreams:
+                    await fleet.control(runner, {"cache_prefixes": _CACHED_PREFIXES})
+            start = time.monotonic()
+            async with asyncio.TaskGroup() as group:
+                faults = [
+                    group.create_task(_inject(fleet, fault, start))
+                    for fault in scenario.faults
+                ]
+                calls = []
+                for number, sample in enumerate(samples):
+                    await _sleep_until(start + sample.arrival.at_s)
+                    calls.append(group.create_task(_call(fleet, sample, number, start)))
+                await _sleep_until(start + scenario.seconds)
+                # Work that still waits is let go; its callers' deadlines are later.
+                longest = max(part.target_s for part in scenario.priorities[:2])
+                await asyncio.wait(calls, timeout=longest)
+                for task in (*faults, *calls):
+                    task.cancel()
+    return measure(scenario, samples)
+
+
+async def _sleep_until(at: float) -> None:
+    delay = at - time.monotonic()
+    if delay > 0:
+        await asyncio.sleep(delay)
+
+
+async def _inject(fleet: ScenarioFleet, fault: Fault, start: float) -> None:
+    await _sleep_until(start + fault.at_s)
+    await fleet.inject(fault)
+
+
+async def _call(
+    fleet: ScenarioFleet, sample: Sample, number: int, start: float
+) -> None:
+    """Send one request, and once more to another entry when its entry is lost."""
+    entries = fleet.entries
+    for attempt in range(2):
+        entry = entries[(number + attempt) % len(entries)]
+        try:
+            async with asyncio.timeout(sample.arrival.timeout_s + 2.0):
+                await _exchange(fleet, sample, entry, start)
+        except (OSError, ResponseError, TimeoutError) as error:
+            sample.error = type(error).__name__
+            sample.first_token_s, sample.tokens = None, 0
+            continue
+        if sample.finished:
+            sample.error = ""
+        return
+
+
+async def _exchange(
+    fleet: ScenarioFleet, sample: Sample, entry: str, start: float
+) -> None:
+    arrival = sample.arrival
+    request = _request(arrival)
+    async with await ClientConnection.open(fleet.caller_address(entry)) as connection:
+        await connection.send(request)
+        head = await connection.receive_head()
+        body = b""
+        async for piece in connection.receive_body():
+            if head.status == 200:
+                sample.last_s = time.monotonic() - start
+                if sample.first_token_s is None:
+                    sample.first_token_s = sample.last_s - arrival.at_s
+                # The last events are the finish reason and the end mark.
+                tokens = sample.tokens + piece.count(b"data: ")
+                sample.tokens = min(tokens, arrival.output_tokens)
+            body += piece
+        if head.status == 200 and b"[DONE]" in body:
+            sample.finished = True
+        else:
+            sample.error = str(head.status)
+
+
+def _request(arrival: Arrival) -> HttpRequest:
+    body = {
+        "model": MODEL,
+        "prompt": arrival.prompt,
+        "max_tokens": arrival.output_tokens,
+        "stream": True,
+    }
+    headers = {
+        "authorization": f"Bearer {_key(arrival.team)}",
+        "x-priority": arrival.priority,
+        "x-timeout-ms": str(int(arrival.timeout_s * 1000)),
+        "content-type": "application/json",
+    }
+    return HttpRequest("POST", "/v1/completions", headers, msgspec.json.encode(body))
+
+
+def _key(team: str) -> str:
+    return f"key of {team}".replace(" ", "-")
+
+
+def _has_prefixes(scenario: Scenario) -> bool:
+    return any(load.prefixes for load in scenario.loads)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -89,7 +89,9 @@
     arrival: Arrival
     first_token_s: float | None = None
     finished: bool = False
-    finished_s: float = 0.0
+    # Tokens received and when the last one came.
+    tokens: int = 0
+    last_s: float = 0.0
     # Error kind when it was refused or failed.
     error: str = ""
 
@@ -145,13 +147,13 @@
     during: dict[str, list[bool]] = defaultdict(list)
     teams: dict[str, list[bool]] = defaultdict(list)
     tokens: dict[str, float] = defaultdict(float)
+    waits: dict[str, list[float]] = defaultdict(list)
     worth = 0.0
     figures: dict[str, float] = {}
     start = max(scenario.during_s, WARM_UP_S)
     for sample in samples:
         arrival = sample.arrival
-        if sample.finished and start <= sample.finished_s < scenario.seconds:
-            tokens[arrival.priority] += arrival.output_tokens
+        tokens[arrival.priority] += _tokens_within(sample, start, scenario.seconds)
         if arrival.at_s < WARM_UP_S:
             continue
         part = targets[arrival.priority]
@@ -161,6 +163,8 @@
             continue
         during[arrival.priority].append(met)
         teams[arrival.team].append(met)
+        if sample.first_token_s is not None:
+            waits[arrival.priority].append(sample.first_token_s)
         worth += part.worth * met
     seconds = scenario.seconds - start
     capacity = capacity_tokens_per_s(scenario) * seconds
@@ -172,6 +176,9 @@
         if share_before:
             kept = _share(during[part.name]) / share_before
             figures[f"kept {part.name}"] = kept
+        if waits[part.name]:
+            median = statistics.median(waits[part.name])
+            figures[f"first token {part.name}"] = median
         figures[f"capacity {part.name}"] = tokens[part.name] / capacity
     for team in scenario.alone:
         figures[f"team {team}"] = _share(teams[team])
@@ -180,17 +187,30 @@
     return figures
 
 
+def _tokens_within(sample: Sample, start: float, end: float) -> float:
+    """Return the output in a window; the output of a failed request is no use."""
+    if sample.error or sample.first_token_s is None:
+        return 0.0
+    first_s = sample.arrival.at_s + sample.first_token_s
+    took = max(sample.last_s - first_s, 1e-9)
+    inside = min(sample.last_s, end) - max(first_s, start)
+    return sample.tokens * min(1.0, max(0.0, inside / took))
+
+
 def _share(met: Sequence[bool]) -> float:
     return sum(met) / len(met) if met else 0.0
 
 
 def summary(runs: Sequence[dict[str, float]]) -> dict[str, list[float]]:
     """Return median, lowest and highest value of each figure."""
+    found: dict[str, list[float]] = {}
+    for run in runs:
+        for name, value in run.items():
+            found.setdefault(name, []).append(value)
     return {
         name: [
-            round(statistics.median(run[name] for run in runs), 4),
-            round(min(run[name] for run in runs), 4),
-            round(max(run[name] for run in runs), 4),
+            round(value, 4)
+            for value in (statistics.median(values), min(values), max(values))
         ]
-        for name in runs[0]
+        for name, values in found.items()
     }
--- a/packages/admission/src/sardineyard/admission/lanes.py
+++ b/packages/admission/src/sardineyard/admission/lanes.py
@@ -36,6 +36,8 @@
         self, rule: PriorityRule, weights: Mapping[TeamId, float], max_idle: int
     ) -> None:
         self.rule = rule
+        # Requests of this priority that hold a slot.
+        self.running = 0
         self.on_time = Backlog(TeamCounters(weights, max_idle))
         self.late = Backlog(TeamCounters(weights, max_idle))
 
@@ -145,21 +147,20 @@
     def kept_free(self, rule: PriorityRule, now: float) -> int:
         """Return the slots that a priority leaves to more urgent ones.
 
-        Slots are kept free only when more urgent work was seen lately and slots
-        turn over too slowly for its target, so idle capacity is used otherwise.
+        More urgent work keeps the slots that it has used lately: otherwise each
+        moment without it would hand a slot to longer work, until none is left.
+        Slots that turn over fast enough for its target need no such care.
         """
-        # Rounded down: one of six slots would cost a sixth of the capacity.
-        most = math.floor(self.limits.slots * self.limits.headroom_share)
-        occupied = self._mean_occupancy_s(now)
+        gap = self._mean_occupancy_s(now) / self.limits.slots
+        kept = 0.0
         for lane in self:
             if lane.rule is rule:
-                return 0
-            if self.estimates.used_slots(lane.rule.name, now) < 0.05:
-                continue
-            gap = occupied / self.limits.slots
+                break
             if gap * _TAIL_GAPS > lane.rule.target_s * _WAIT_PART:
-                return min(most, self.limits.slots - 1)
-        return 0
+                used = self.estimates.used_slots(lane.rule.name, now)
+                spread = self.limits.headroom * math.sqrt(used)
+                kept += max(0.0, used + spread - lane.running)
+        return min(math.floor(kept + 0.5), self.limits.slots - 1)
 
     def expected_wait_s(
         self, priority: PriorityName, now: float, account: TeamId | None = None
--- a/packages/admission/src/sardineyard/admission/model.py
+++ b/packages/admission/src/sardineyard/admission/model.py
@@ -66,5 +66,6 @@
     max_queued: int = 2_000
     # Counters of idle teams that are remembered, by priority.
     max_idle_teams: int = 1_024
-    # Largest share of the slots that is kept free for more urgent priorities.
-    headroom_share: float = 1 / 16
+    # Slots kept for more urgent priorities beyond their mean use, in multiples of
+    # the square root of that use, which is the spread of random arrivals.
+    headroom: float = 0.5
--- a/packages/admission/src/sardineyard/admission/queue.py
+++ b/packages/admission/src/sardineyard/admission/queue.py
@@ -90,6 +90,8 @@
             lane = self._lanes.lane(item.work.priority)
             item.work = replace(item.work, priority=lane.rule.name)
             item.account = lane.on_time.counters.account(item.work.team)
+        for item in self._running.values():
+            self._lanes.lane(item.work.priority).running += 1
         for item in before.items():
             self._lanes.add(item)
 
@@ -129,6 +131,7 @@
         self._charge(item, item.estimate, item.estimate)
         estimates.started(item.work, now)
         self._forget(item.work.request_id)
+        self._lanes.lane(item.work.priority).running += 1
         self._running[item.work.request_id] = item
         return Started(item.work)
 
@@ -147,6 +150,7 @@
         item = self._running.pop(request_id, None)
         if item is None:
             return
+        self._lanes.lane(item.work.priority).running -= 1
         real = max(1.0, float(item.work.input_tokens + output_tokens))
         self._charge(item, real - item.estimate, real)
         if complete:
