--- a/packages/entry/src/sardineyard/entry/attempts.py
+++ b/packages/entry/src/sardineyard/entry/attempts.py
@@ -29,7 +29,7 @@
     def __init__(
         self, router: Mailbox[Any], clock: Clock, metrics: EntryMetrics
     ) -> None:
-        self._router = RouterClient(router, metrics)
+        self._router = RouterClient(router, clock, metrics)
         self._clock = clock
         self._random = Random()
 
--- a/packages/entry/src/sardineyard/entry/keyed_run.py
+++ b/packages/entry/src/sardineyard/entry/keyed_run.py
@@ -94,7 +94,7 @@
             return False
         if remaining(self._clock, self._request.deadline) <= pause_s:
             return False
-        return await self._router.may_retry(error)
+        return await self._router.take_retry(error)
 
 
 def _of_every_attempt(error: RequestError) -> RequestError:
