--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -12,8 +12,8 @@
 from sardineyard.agent.messages import Drain
 from sardineyard.agent.scheduler import Scheduler
 from sardineyard.agent.service import AgentService
-from sardineyard.configsync.follower import ConfigFollower
-from sardineyard.configsync.peer_service import PeerService
+from sardineyard.configsync.members import PeerMember
+from sardineyard.configsync.sync import ConfigSync
 from sardineyard.core.ids import UpstreamId
 from sardineyard.core.mailbox import Reply
 from sardineyard.core.states import ProcessState, UpstreamKind
@@ -24,10 +24,7 @@
 from sardineyard.runner import ModelRunner, PlainService
 
 if TYPE_CHECKING:
-    from typing import Any
-
     from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
     from sardineyard.runner import Runner
     from sardineyard.settings.processes import AgentSettings
 
@@ -54,25 +51,34 @@
             clock,
             Random(),
         )
-        subscribers: list[Mailbox[Any]] = [
+        self._sync = ConfigSync(
+            PeerMember(
+                self._identity.process,
+                self._identity.advertised_address,
+                incarnation,
+                self._identity.failure_domain,
+                clock.now(),
+            ),
+            settings.platform_address,
+            settings.seed_peers,
+            clock,
+            Random(),
+        )
+        self._sync.subscribe(self._scheduler.mailbox)
+        self._sync.subscribe(self._key_owner.mailbox)
+        if self._has_keys:
+            self._sync.subscribe(self._lease.mailbox)
+        self._service = AgentService(
+            upstream,
+            incarnation,
             self._scheduler.mailbox,
             self._key_owner.mailbox,
-        ]
-        if self._has_keys:
-            subscribers.append(self._lease.mailbox)
-        self._follower = ConfigFollower(
-            settings.platform_address, Random(), subscribers
+            clock,
         )
         self._server = Server(
             [
-                AgentService(
-                    upstream,
-                    incarnation,
-                    self._scheduler.mailbox,
-                    self._key_owner.mailbox,
-                    clock,
-                ),
-                PeerService(self._identity.process, incarnation, self._follower),
+                self._service,
+                self._sync.service,
             ]
         )
         self._admin = AdminServer(
@@ -85,9 +91,9 @@
         self._tasks.start("key-owner", self._key_owner.run())
         if self._has_keys:
             self._tasks.start("address-lease", self._lease.run())
-        self._tasks.start("config-follower", self._follower.run())
         address = self._settings.peer_address
         await self._server.start(address.host, address.port)
+        self._sync.start(self._tasks)
         await self._admin.start()
         self._state = ProcessState.SERVING
 
@@ -97,6 +103,8 @@
         reply: Reply[None] = Reply()
         self._scheduler.mailbox.post(Drain(reply))
         await reply.wait()
+        # The last events of the calls may still wait in the sessions.
+        await self._service.flush()
 
     async def close(self) -> list[str]:
         """End all tasks and return the ids of the requests that were cut."""
@@ -123,17 +131,18 @@
         return self._settings.upstream_kind is UpstreamKind.PLAIN_SERVICE
 
     def _is_ready(self) -> bool:
-        if self._state is not ProcessState.SERVING or self._follower.current is None:
+        if self._state is not ProcessState.SERVING or self._sync.current is None:
             return False
         return not self._has_keys or self._key_owner.accepts_new_keys
 
     async def _dump(self) -> object:
-        current = self._follower.current
+        current = self._sync.current
         return {
             "process": self._identity.process,
             "incarnation": self._identity.incarnation,
             "state": self._state,
             "document_version": current.order.version if current else None,
+            "config": await self._sync.dump(),
             "open_requests": self._scheduler.open_requests,
             "keys": {
                 "accepts_new": self._key_owner.accepts_new_keys,
--- a/packages/standins/src/sardineyard/standins/platform.py
+++ b/packages/standins/src/sardineyard/standins/platform.py
@@ -41,7 +41,8 @@
     """Change the platform from a test."""
 
     mode: Mode | None = None
-    document: msgspec.Raw | None = None
+    # A Raw field in a union decodes null only, so empty bytes mean no change.
+    document: msgspec.Raw = msgspec.Raw()
     vms: tuple[VmEntry, ...] | None = None
 
 
@@ -118,8 +119,8 @@
 
     async def _control(self, request: HttpRequest, exchange: Exchange) -> None:
         control = msgspec.json.decode(request.body, type=Control)
-        if control.document is not None:
-            document = bytes(control.document)
+        document = bytes(control.document)
+        if document:
             if len(document) > MAX_VALUE_BYTES:
                 await send_json(exchange, {"error": "value too large"}, 413)
                 return
