--- a/packages/agent/src/sardineyard/agent/key_owner.py
+++ b/packages/agent/src/sardineyard/agent/key_owner.py
@@ -27,7 +27,7 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.core.requests import CallFailed, ServiceAnswer
 from sardineyard.idempotency.keys import ScopedKey, parse_key
-from sardineyard.idempotency.lease import AddressLease, LeaseChange
+from sardineyard.idempotency.lease import AddressLease
 from sardineyard.idempotency.messages import (
     AskPrevious,
     Attempt,
@@ -47,6 +47,7 @@
     from sardineyard.core.clock import Clock
     from sardineyard.core.ids import UpstreamId
     from sardineyard.core.requests import CallEvent, ServiceCall
+    from sardineyard.idempotency.lease import LeaseChange
     from sardineyard.idempotency.messages import Ticket
 
 _logger = logging.getLogger(__name__)
@@ -91,6 +92,7 @@
         self._table = KeyTable(clock, upstream, AddressLease(clock, incarnation))
         self._open: dict[Ticket, _OpenCall] = {}
         self._asking: set[asyncio.Task[None]] = set()
+        self._lease_change: LeaseChange | None = None
         self._addresses: dict[UpstreamId, Address] | None = None
 
     @property
@@ -140,7 +142,8 @@
         if self._addresses is None:
             return
         change = self._table.confirm_lease(message.renewal, message.answered)
-        if change is not LeaseChange.RENEWED:
+        if change is not self._lease_change:
+            self._lease_change = change
             _logger.info(
                 "address lease changed",
                 extra={"event": "lease_changed", "change": change.value},
--- a/packages/standins/src/sardineyard/standins/keyed_fleet.py
+++ b/packages/standins/src/sardineyard/standins/keyed_fleet.py
@@ -98,7 +98,7 @@
     async def start_successor(self, upstream: str) -> str:
         """Start another agent for an upstream, give it the address, return its name."""
         self._successors += 1
-        name = f"agent-{upstream}.{self._successors}"
+        name = f"agent-{upstream}.successor-{self._successors}"
         self.ports[name] = Ports()
         self.add_agent(upstream, name)
         await self.start(name)
