--- a/packages/agent/src/sardineyard/agent/key_owner.py
+++ b/packages/agent/src/sardineyard/agent/key_owner.py
@@ -44,7 +44,7 @@
 if TYPE_CHECKING:
     from sardineyard.agent.messages import CallSink, SessionId
     from sardineyard.core.address import Address
-    from sardineyard.core.clock import Clock
+    from sardineyard.core.clock import Clock, WallTime
     from sardineyard.core.ids import UpstreamId
     from sardineyard.core.requests import CallEvent, ServiceCall
     from sardineyard.idempotency.lease import LeaseChange
@@ -101,9 +101,14 @@
         return self._table.accepts_new_keys
 
     @property
-    def open_tickets(self) -> int:
-        """Return the number of keyed calls that have not ended."""
-        return len(self._open)
+    def lease_held(self) -> bool:
+        """Return whether keyed calls may be accepted now."""
+        return self._table.lease_held
+
+    @property
+    def floor(self) -> WallTime:
+        """Return the creation time up to which unknown timed keys are refused."""
+        return self._table.floor
 
     @property
     def key_count(self) -> int:
@@ -219,7 +224,7 @@
         call = replace(opened.call, request_id=request_id)
         sink = _KeySink(decision.ticket, self.mailbox)
         permit = partial(self._permit, decision.ticket)
-        self._scheduler.post(Submit(call, sink, opened.session, permit))
+        self._scheduler.post(Submit(call, sink, opened.session, permit=permit))
 
     @_carry_out.register(AskPrevious)
     def _ask_previous(self, decision: AskPrevious, waiting: Any) -> None:
--- a/packages/agent/src/sardineyard/agent/messages.py
+++ b/packages/agent/src/sardineyard/agent/messages.py
@@ -15,6 +15,7 @@
         ServiceCall,
     )
     from sardineyard.runner.kinds import Permit
+    from sardineyard.telemetry.state import QueueView
 
 SessionId = NewType("SessionId", int)
 
@@ -35,6 +36,8 @@
     session: SessionId
     # Asked immediately before the first byte goes to the upstream.
     permit: Permit | None = None
+    # Monotonic time at which the scheduler took the request.
+    arrived: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +68,13 @@
     reply: Reply[LoadReport]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadQueues:
+    """Ask the scheduler for the queue of each priority, the most urgent first."""
+
+    reply: Reply[tuple[QueueView, ...]]
+
+
 @dataclass(frozen=True, slots=True)
 class Drain:
     """Ask the scheduler to refuse new work and to answer when the last call ended."""
--- a/packages/entry/src/sardineyard/entry/keyed_run.py
+++ b/packages/entry/src/sardineyard/entry/keyed_run.py
@@ -62,7 +62,7 @@
                 case Success(answer):
                     return Success(answer)
                 case Failure(failed):
-                    error = _of_every_attempt(failed)
+                    error = self._of_every_attempt(failed, uncertain)
             # An attempt with an uncertain end may still arrive and run, so a later
             # attempt that was not run says nothing about the request.
             if error.outcome is not Outcome.NOT_RUN:
@@ -94,12 +94,21 @@
             return False
         if remaining(self._clock, self._request.deadline) <= pause_s:
             return False
-        return await self._router.may_retry()
-
-
-def _of_every_attempt(error: RequestError) -> RequestError:
-    # Nothing was sent to the owner now, but an earlier attempt of the caller may
-    # have reached it, through this entry or another one.
-    if error.kind is ErrorKind.OWNER_UNAVAILABLE:
-        return RequestError(ErrorKind.OWNER_UNCERTAIN, error.detail)
-    return error
+        return await self._router.may_retry(error)
+
+    def _of_every_attempt(
+        self, error: RequestError, uncertain: RequestError | None
+    ) -> RequestError:
+        # The owner did not start this attempt. An earlier one may have run, through
+        # this entry or another one, unless the caller says that there was none.
+        is_only = self._request.first_attempt and uncertain is None
+        kinds = _KINDS_OF_ONLY_ATTEMPT if is_only else _KINDS_OF_LATER_ATTEMPT
+        return RequestError(kinds.get(error.kind, error.kind), error.detail)
+
+
+_KINDS_OF_ONLY_ATTEMPT = {
+    ErrorKind.KEY_FORGOTTEN: ErrorKind.KEY_NOT_ACCEPTED,
+    ErrorKind.OWNER_UNCERTAIN: ErrorKind.OWNER_UNAVAILABLE,
+    ErrorKind.NOT_OWNER: ErrorKind.OWNER_UNAVAILABLE,
+}
+_KINDS_OF_LATER_ATTEMPT = {ErrorKind.OWNER_UNAVAILABLE: ErrorKind.OWNER_UNCERTAIN}
--- a/packages/entry/src/sardineyard/entry/services.py
+++ b/packages/entry/src/sardineyard/entry/services.py
@@ -13,13 +13,15 @@
 from sardineyard.idempotency.keys import parse_key
 
 if TYPE_CHECKING:
-    from sardineyard.core.ids import RequestId
     from sardineyard.entry.admission import Admitted
     from sardineyard.entry.attempts import Attempts
     from sardineyard.entry.directory import Directory
+    from sardineyard.entry.observe import RequestObserver
     from sardineyard.httpio.exchange import Exchange
     from sardineyard.httpio.messages import HttpRequest
 
+# The number of an attempt with a key; 1 says that the key was never sent before.
+ATTEMPT_HEADER = "x-attempt"
 _PREFIX = "/services/"
 
 
@@ -33,7 +35,7 @@
         self,
         request: HttpRequest,
         exchange: Exchange,
-        request_id: RequestId,
+        observer: RequestObserver,
         admitted: Admitted,
         directory: Directory,
     ) -> RequestError | None:
@@ -54,7 +56,7 @@
             case Failure(error):
                 return error
         call = ServiceCall(
-            request_id=request_id,
+            request_id=observer.request_id,
             team=admitted.team.id,
             priority=admitted.priority.name,
             service=ServiceName(name),
@@ -68,6 +70,7 @@
             ),
             repeatable=repeatable,
             idempotency_key=key.text if key else None,
+            first_attempt=request.headers.get(ATTEMPT_HEADER) == "1",
         )
         match await self._attempts.call(call):
             case Success(answer):
@@ -75,6 +78,7 @@
                 if answer.replayed:
                     headers["idempotency-replayed"] = "true"
                 await exchange.send(answer.status, headers, answer.body)
+                observer.completed()
             case Failure(error):
                 return error
         return None
--- a/packages/standins/src/sardineyard/standins/keyed_fleet.py
+++ b/packages/standins/src/sardineyard/standins/keyed_fleet.py
@@ -118,13 +118,20 @@
         await self.publish({**self.document, "version": version, "services": [moved]})
 
     async def book(
-        self, key: str, *, entry: str = "entry-1", timeout_s: float = 10.0
+        self,
+        key: str,
+        *,
+        entry: str = "entry-1",
+        timeout_s: float = 10.0,
+        first: bool = False,
     ) -> Booking:
         """Send one attempt of a booking and return what the caller learned."""
         headers = {
             "idempotency-key": key,
             "x-timeout-ms": str(int(timeout_s * 1000)),
         }
+        if first:
+            headers["x-attempt"] = "1"
         try:
             response = await self.call(
                 "POST",
@@ -203,7 +210,8 @@
         return await self.runs_of(key) > 0
 
     async def _has_version(self, name: str, version: int) -> bool:
-        return bool((await self.state(name))["document_version"] >= version)
+        document = (await self.state(name))["document"]
+        return document is not None and bool(document["version"] >= version)
 
     @property
     def _service(self) -> dict[str, Any]:
