--- a/packages/agent/src/sardineyard/agent/runner_call.py
+++ b/packages/agent/src/sardineyard/agent/runner_call.py
@@ -29,6 +29,10 @@
 
 _logger = logging.getLogger(__name__)
 
+# A call with a key goes on for this time after its start, beyond the deadline of its
+# caller, because a later attempt with the same key can still get its answer.
+_PERMITTED_S = 60.0
+
 
 async def run_call(
     runner: Runner,
@@ -40,8 +44,8 @@
     """Run a request until its end, its deadline or an error, and report each event."""
     try:
         async with (
-            asyncio.timeout(remaining(clock, request.deadline)),
-            aclosing(_execute(runner, request, permit)) as events,
+            asyncio.timeout(remaining(clock, request.deadline)) as limit,
+            aclosing(_execute(runner, request, permit, limit)) as events,
         ):
             async for event in events:
                 if not sink.offer(event):
@@ -66,11 +70,21 @@
 
 
 def _execute(
-    runner: Runner, request: Generation | ServiceCall, permit: Permit | None
+    runner: Runner,
+    request: Generation | ServiceCall,
+    permit: Permit | None,
+    limit: asyncio.Timeout,
 ) -> AsyncGenerator[CallEvent, None]:
     if permit is None:
         return execute(runner, request)
-    return execute(runner, request, permit)
+
+    async def permit_and_extend() -> RequestError | None:
+        refusal = await permit()
+        if refusal is None:
+            limit.reschedule(asyncio.get_running_loop().time() + _PERMITTED_S)
+        return refusal
+
+    return execute(runner, request, permit_and_extend)
 
 
 def _fail(
--- a/packages/agent/tests/test_keyed_calls.py
+++ b/packages/agent/tests/test_keyed_calls.py
@@ -50,6 +50,19 @@
     run_fleet(_ONE, scenario, KeyedFleet)
 
 
+def test_a_call_goes_on_after_its_caller_gave_up(run_fleet) -> None:
+    """Guards against an answer that is lost because the first attempt ended early."""
+
+    async def scenario(fleet: KeyedFleet) -> None:
+        key = fleet.key_of(_OWNER)
+        hasty = await fleet.book(key, timeout_s=0.2)
+        assert hasty.outcome is Outcome.UNKNOWN
+        assert (await fleet.book(key)).outcome is Outcome.RAN
+        assert await fleet.runs_of(key) == 1
+
+    run_fleet(_ONE, scenario, KeyedFleet)
+
+
 def test_a_paused_agent_that_was_replaced_runs_nothing_when_it_goes_on(
     run_fleet,
 ) -> None:
