--- a/packages/agent/src/sardineyard/agent/messages.py
+++ b/packages/agent/src/sardineyard/agent/messages.py
@@ -34,10 +34,10 @@
     request: Generation | ServiceCall
     sink: CallSink
     session: SessionId
-    # Asked immediately before the first byte goes to the upstream.
-    permit: Permit | None = None
     # Monotonic time at which the scheduler took the request.
     arrived: float = 0.0
+    # Asked immediately before the first byte goes to the upstream.
+    permit: Permit | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/standins/src/sardineyard/standins/fleet.py
+++ b/packages/standins/src/sardineyard/standins/fleet.py
@@ -305,7 +305,7 @@
 
     def _domain(self, name: str) -> str:
         """Spread processes over the domains as the document spreads upstreams."""
-        number = int(name.rpartition("-")[2])
+        number = int(name.rpartition("-")[2].partition(".")[0])
         return f"domain-{(number - 1) % self.spec.domains + 1}"
 
     def _seeds(self, name: str) -> str:
