--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -167,9 +167,10 @@
             running=load.running,
             queued=load.queued,
             queues=await self._queues(),
-            config=await self._sync.dump(),
+            lease_held=self._key_owner.lease_held,
             idempotency_keys=self._key_owner.key_count,
-            lease_held=self._key_owner.accepts_new_keys,
+            idempotency_floor=self._key_owner.floor,
+            config=await self._sync.dump(),
         )
 
     async def _load(self) -> LoadReport:
--- a/packages/entry/src/sardineyard/entry/front.py
+++ b/packages/entry/src/sardineyard/entry/front.py
@@ -17,6 +17,7 @@
 from sardineyard.entry.observe import RequestObserver
 from sardineyard.entry.openai import ChatBody, TextBody
 from sardineyard.entry.problems import send_problem
+from sardineyard.entry.services import ATTEMPT_HEADER
 from sardineyard.telemetry.labels import TeamClass
 
 if TYPE_CHECKING:
@@ -155,7 +156,8 @@
     A caller that sends a key again must not be told that the call was not run: an
     earlier attempt may have run it through another entry.
     """
-    if "idempotency-key" in request.headers:
+    is_first = request.headers.get(ATTEMPT_HEADER) == "1"
+    if "idempotency-key" in request.headers and not is_first:
         return RequestError(ErrorKind.OWNER_UNCERTAIN, kind.value)
     return RequestError(kind)
 
--- a/packages/idempotency/src/sardineyard/idempotency/table.py
+++ b/packages/idempotency/src/sardineyard/idempotency/table.py
@@ -112,8 +112,17 @@
     @property
     def accepts_new_keys(self) -> bool:
         """Return whether a timed key that is created now would be accepted."""
-        created = WallTime(self._clock.wall())
-        return self._lease.held and not self._store.is_forgotten(TimedKey, created)
+        return self._lease.held and self._clock.wall() > self.floor
+
+    @property
+    def lease_held(self) -> bool:
+        """Return whether keyed calls may be accepted now."""
+        return self._lease.held
+
+    @property
+    def floor(self) -> WallTime:
+        """Return the creation time up to which unknown timed keys are refused."""
+        return self._store.floor_of(TimedKey)
 
     @property
     def key_count(self) -> int:
@@ -244,9 +253,9 @@
             return _refuse(ErrorKind.KEY_INVALID, "its creation time is in the future")
         if created > now + skew:
             # An agent whose clock is ahead of this one may have accepted the key.
-            return _refuse(ErrorKind.KEY_UNCERTAIN, "its creation time is ahead")
-        if self._store.is_forgotten(type(scoped.key), created):
-            return _refuse(ErrorKind.KEY_UNCERTAIN, "the key is below the floor")
+            return _refuse(ErrorKind.KEY_FORGOTTEN, "its creation time is ahead")
+        if created <= self._store.floor_of(type(scoped.key)):
+            return _refuse(ErrorKind.KEY_FORGOTTEN, "the key is below the floor")
         if not self._lease.held:
             return _refuse(ErrorKind.OWNER_UNCERTAIN, "the address lease is not held")
         return None
