--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -7,6 +7,7 @@
 
 from grpclib.server import Server
 
+from sardineyard.admission.policies import policy_named as admission_policy
 from sardineyard.agent.group_coordinator import GroupCoordinator
 from sardineyard.agent.group_messages import ReadGroup
 from sardineyard.agent.group_participant import GroupParticipant
@@ -56,7 +57,12 @@
         upstream = UpstreamId(settings.upstream)
         incarnation = self._identity.incarnation
         self._scheduler = Scheduler(
-            upstream, incarnation, self._runner(), clock, self._measured
+            upstream,
+            incarnation,
+            self._runner(),
+            clock,
+            self._measured,
+            admission_policy(settings.admission),
         )
         self._key_owner = KeyOwner(
             self._scheduler.mailbox, upstream, incarnation, clock
@@ -182,9 +188,10 @@
             queued=load.queued,
             queues=await self._queues(),
             groups=await self._groups(),
-            config=await self._sync.dump(),
+            lease_held=self._key_owner.lease_held,
             idempotency_keys=self._key_owner.key_count,
-            lease_held=self._key_owner.accepts_new_keys,
+            idempotency_floor=self._key_owner.floor,
+            config=await self._sync.dump(),
         )
 
     async def _load(self) -> LoadReport:
--- a/packages/agent/src/sardineyard/agent/key_owner.py
+++ b/packages/agent/src/sardineyard/agent/key_owner.py
@@ -27,7 +27,7 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.core.requests import CallFailed, ServiceAnswer
 from sardineyard.idempotency.keys import ScopedKey, parse_key
-from sardineyard.idempotency.lease import AddressLease, LeaseChange
+from sardineyard.idempotency.lease import AddressLease
 from sardineyard.idempotency.messages import (
     AskPrevious,
     Attempt,
@@ -44,9 +44,10 @@
 if TYPE_CHECKING:
     from sardineyard.agent.messages import CallSink, SessionId
     from sardineyard.core.address import Address
-    from sardineyard.core.clock import Clock
+    from sardineyard.core.clock import Clock, WallTime
     from sardineyard.core.ids import UpstreamId
     from sardineyard.core.requests import CallEvent, ServiceCall
+    from sardineyard.idempotency.lease import LeaseChange
     from sardineyard.idempotency.messages import Ticket
 
 _logger = logging.getLogger(__name__)
@@ -91,6 +92,7 @@
         self._table = KeyTable(clock, upstream, AddressLease(clock, incarnation))
         self._open: dict[Ticket, _OpenCall] = {}
         self._asking: set[asyncio.Task[None]] = set()
+        self._lease_change: LeaseChange | None = None
         self._addresses: dict[UpstreamId, Address] | None = None
 
     @property
@@ -99,9 +101,14 @@
         return self._table.accepts_new_keys
 
     @property
-    def open_tickets(self) -> int:
-        """Return the number of keyed calls that have not ended."""
-        return len(self._open)
+    def lease_held(self) -> bool:
+        """Return whether keyed calls may be accepted now."""
+        return self._table.lease_held
+
+    @property
+    def floor(self) -> WallTime:
+        """Return the creation time up to which unknown timed keys are refused."""
+        return self._table.floor
 
     @property
     def key_count(self) -> int:
@@ -140,7 +147,8 @@
         if self._addresses is None:
             return
         change = self._table.confirm_lease(message.renewal, message.answered)
-        if change is not LeaseChange.RENEWED:
+        if change is not self._lease_change:
+            self._lease_change = change
             _logger.info(
                 "address lease changed",
                 extra={"event": "lease_changed", "change": change.value},
--- a/packages/core/src/sardineyard/core/errors.py
+++ b/packages/core/src/sardineyard/core/errors.py
@@ -37,6 +37,8 @@
     KEY_INVALID = "key_invalid"
     KEY_CONFLICT = "key_conflict"
     KEY_UNCERTAIN = "key_uncertain"
+    KEY_FORGOTTEN = "key_forgotten"
+    KEY_NOT_ACCEPTED = "key_not_accepted"
     ANSWER_EVICTED = "answer_evicted"
     NOT_READY = "not_ready"
     DRAINING = "draining"
@@ -122,6 +124,18 @@
             _UNKNOWN,
             "an earlier process may have run this call; it is not run again",
         ),
+        ErrorKind.KEY_FORGOTTEN: _answer(
+            HTTPStatus.CONFLICT,
+            _UNKNOWN,
+            "the owner may have run this Idempotency-Key before it lost its memory",
+        ),
+        # The same for the first attempt of a key, which cannot have run before.
+        ErrorKind.KEY_NOT_ACCEPTED: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            "the owner accepts no Idempotency-Key of this age; use a new one",
+            1,
+        ),
         ErrorKind.ANSWER_EVICTED: _answer(
             HTTPStatus.GONE, Outcome.RAN, "the call ran; its answer is not kept"
         ),
--- a/packages/entry/src/sardineyard/entry/services.py
+++ b/packages/entry/src/sardineyard/entry/services.py
@@ -20,6 +20,8 @@
     from sardineyard.httpio.exchange import Exchange
     from sardineyard.httpio.messages import HttpRequest
 
+# The number of an attempt with a key; 1 says that the key was never sent before.
+ATTEMPT_HEADER = "x-attempt"
 _PREFIX = "/services/"
 
 
@@ -68,6 +70,7 @@
             ),
             repeatable=repeatable,
             idempotency_key=key.text if key else None,
+            first_attempt=request.headers.get(ATTEMPT_HEADER) == "1",
         )
         match await self._attempts.call(call):
             case Success(answer):
