Raise the trigger where few slots allow no better skew, shorten group messages

Cause: with few slots per rank the goal is out of reach, so a placement was computed at every reading only to find no gain. Replies to readings carried the whole map in use each time.

Change: the trigger follows the skew that the last placement reached, up to 1.09; replies leave out a map that the asker knows, and carry whole tokens. Group messages are counted as control traffic. Readings every 3 s by default.

Found on the way: clearing a field of an absent protobuf message makes it present, so that empty ranks looked as if they had a map and a group of 16 never started; the reply is now shortened only when it has a map.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -88,7 +88,7 @@
             Random(),
         )
         self._sync.subscribe(self._scheduler.mailbox)
-        self._coordinator = GroupCoordinator(upstream, clock, Random())
+        self._coordinator = GroupCoordinator(upstream, clock, Random(), self._measured)
         self._participant = GroupParticipant(
             upstream,
             RankClient(self._pool, _RANKS_TIMEOUT_S),
--- a/packages/agent/src/sardineyard/agent/group_coordinator.py
+++ b/packages/agent/src/sardineyard/agent/group_coordinator.py
@@ -23,6 +23,7 @@
     from random import Random
 
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import UpstreamId
     from sardineyard.document.model import Document, Group
     from sardineyard.experts.coordinator import Orders
@@ -52,12 +53,13 @@
         upstream: UpstreamId,
         clock: Clock,
         rng: Random,
+        meter: ControlMeter,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._upstream = upstream
         self._clock = clock
         self._rng = rng
-        self._links = GroupLinks(upstream)
+        self._links = GroupLinks(upstream, meter)
         self._group: Group | None = None
         self._due = NO_DEADLINE
         self._leads_at = NO_DEADLINE
@@ -188,6 +190,7 @@
     def _current(self) -> Placement | None:
         maps = [s.in_use for s in self._coordinator.states.values() if s.in_use]
         newest = max(maps, key=lambda known: known.version, default=None)
+        self._links.known_map = newest
         return newest.ranks if newest is not None else None
 
     def _next_step(self) -> StepNumber:
--- a/packages/agent/src/sardineyard/agent/group_links.py
+++ b/packages/agent/src/sardineyard/agent/group_links.py
@@ -10,18 +10,25 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from sardineyard.agent.group_messages import GroupAnswer, OrderArrived
-from sardineyard.agent.group_wire import answer_from_wire, order_to_wire
+from sardineyard.agent.group_wire import (
+    answer_from_wire,
+    fill_in_known_map,
+    order_to_wire,
+)
 from sardineyard.core.address import parse_address
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.core.mailbox import Mailbox, Reply
-from sardineyard.experts.orders import Refusal
+from sardineyard.experts.orders import Read, Refusal
 from sardineyard.wire.session_grpc import AgentStub
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import UpstreamId
     from sardineyard.document.model import Group
     from sardineyard.experts.coordinator import Orders
+    from sardineyard.experts.maps import ExpertMap
     from sardineyard.experts.orders import Order
 
 _logger = logging.getLogger(__name__)
@@ -33,9 +40,12 @@
 class GroupLinks:
     """Send orders to this agent's own participant and to the other agents."""
 
-    def __init__(self, upstream: UpstreamId) -> None:
+    def __init__(self, upstream: UpstreamId, meter: ControlMeter) -> None:
         self.own: Mailbox[Any] = Mailbox()
+        # The map in use as last read; replies leave it out while it is the same.
+        self.known_map: ExpertMap | None = None
         self._upstream = upstream
+        self._meter = meter
         self._channels: dict[UpstreamId, tuple[str, Channel]] = {}
 
     def update(self, group: Group, addresses: Mapping[UpstreamId, str]) -> None:
@@ -93,4 +103,14 @@
             return GroupAnswer(Refusal.RUNNER_LOST, None)
         stub = AgentStub(self._channels[member][1])
         message = order_to_wire(order, group.id, self._upstream)
-        return GroupAnswer(*answer_from_wire(await stub.Order(message)))
+        if isinstance(order, Read) and self.known_map is not None:
+            message.map_version = self.known_map.version
+        self._count(Direction.SENT, message.ByteSize())
+        reply = await stub.Order(message)
+        self._count(Direction.RECEIVED, reply.ByteSize())
+        if reply.report.HasField("in_use"):
+            fill_in_known_map(reply, self.known_map)
+        return GroupAnswer(*answer_from_wire(reply))
+
+    def _count(self, direction: Direction, size: int) -> None:
+        self._meter.control_message(ControlChannel.GROUP, direction, size)
--- a/packages/agent/src/sardineyard/agent/group_wire.py
+++ b/packages/agent/src/sardineyard/agent/group_wire.py
@@ -69,6 +69,21 @@
     return pb.GroupReply(accepted=not refusal, refusal=refusal, report=report)
 
 
+def leave_out_known_map(reply: pb.GroupReply, known: int) -> None:
+    """Shorten a reply to an asker that knows the map in use."""
+    # Clearing a field of an absent message would make the message present.
+    has_map = reply.report.HasField("in_use")
+    if has_map and reply.report.in_use.version == known:
+        reply.report.in_use.ClearField("ranks")
+
+
+def fill_in_known_map(reply: pb.GroupReply, known: ExpertMap | None) -> None:
+    """Put the ranks of a known map back into a reply that left them out."""
+    in_use = reply.report.in_use
+    if known is not None and in_use.version == known.version and not in_use.ranks:
+        in_use.CopyFrom(_map_to_wire(known))
+
+
 def answer_from_wire(
     message: pb.GroupReply,
 ) -> tuple[Refusal | None, RankReport | None]:
@@ -154,8 +169,8 @@
         decided=_change_to_wire(state.decided),
         first_rank=report.first_rank,
         busy_s=report.busy_s,
-        tokens=report.tokens,
-        expert_tokens=report.expert_tokens,
+        tokens=[int(count) for count in report.tokens],
+        expert_tokens=[int(count) for count in report.expert_tokens],
         late=report.late,
         lost=report.lost,
     )
--- a/packages/agent/src/sardineyard/agent/service.py
+++ b/packages/agent/src/sardineyard/agent/service.py
@@ -10,11 +10,16 @@
 from grpclib.exceptions import GRPCError
 
 from sardineyard.agent.group_messages import OrderArrived
-from sardineyard.agent.group_wire import answer_to_wire, order_from_wire
+from sardineyard.agent.group_wire import (
+    answer_to_wire,
+    leave_out_known_map,
+    order_from_wire,
+)
 from sardineyard.agent.key_messages import AskSurrender
 from sardineyard.agent.messages import SessionId
 from sardineyard.agent.session import Session
 from sardineyard.agent.surrender import decode_question, encode_answer
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.core.ids import GroupId, UpstreamId
 from sardineyard.core.mailbox import Reply
 from sardineyard.wire import session_pb2 as pb
@@ -99,4 +104,12 @@
         reply: Reply[GroupAnswer] = Reply()
         group, asker = GroupId(message.group), UpstreamId(message.asker)
         self._group.post(OrderArrived(order, group, asker, reply))
-        await stream.send_message(answer_to_wire(await reply.wait()))
+        answer = answer_to_wire(await reply.wait())
+        if message.kind == pb.GroupOrder.READ and answer.HasField("report"):
+            leave_out_known_map(answer, message.map_version)
+        self._count(Direction.RECEIVED, message.ByteSize())
+        self._count(Direction.SENT, answer.ByteSize())
+        await stream.send_message(answer)
+
+    def _count(self, direction: Direction, size: int) -> None:
+        self._meter.control_message(ControlChannel.GROUP, direction, size)
--- a/packages/document/src/sardineyard/document/model.py
+++ b/packages/document/src/sardineyard/document/model.py
@@ -96,7 +96,7 @@
     rebalance_bytes_per_s: Annotated[float, _RATE] = 1e9
     # Seconds between two readings of the ranks; after three missed ones the next
     # agent of the group takes over.
-    rebalance_interval_s: Annotated[float, _RATE] = 2.0
+    rebalance_interval_s: Annotated[float, _RATE] = 3.0
 
 
 class Service(_Strict, frozen=True):
--- a/packages/experts/src/sardineyard/experts/rebalance.py
+++ b/packages/experts/src/sardineyard/experts/rebalance.py
@@ -40,6 +40,9 @@
     # distance between them is the hysteresis.
     goal: float = 1.03
     trigger: float = 1.06
+    # The trigger rises to this where the ranks have too few slots for the goal, so
+    # that no placement is computed at each reading only to find no gain.
+    highest_trigger: float = 1.09
     least_gain: float = 0.02
     # Bytes that may be saved up, as seconds of the allowed rate.
     burst_s: float = 10.0
@@ -73,6 +76,14 @@
         self._changed_at = clock.now()
         # Time for which a placement stays good, estimated from earlier changes.
         self._life_s = rules.least_life_s
+        # Skew of the last placement that was computed.
+        self._reached = rules.goal
+
+    @property
+    def _trigger(self) -> float:
+        rules = self._rules
+        raised = self._reached + rules.least_gain
+        return min(rules.highest_trigger, max(rules.trigger, raised))
 
     def decide(self, problem: PlacementProblem, current: Placement | None) -> Decision:
         """Return a decision; raise UnableToServeError when experts do not fit."""
@@ -82,9 +93,10 @@
             placement = place(problem, current, self._rules.goal)
             return self._decision(verdict, problem, current, placement)
         before = step_skew(current, problem.loads, problem.capacities)
-        if before <= self._rules.trigger:
+        if before <= self._trigger:
             return Decision(Verdict.BALANCED, None, before, before, 0)
         placement = place(problem, current, self._rules.goal)
+        self._reached = step_skew(placement, problem.loads, problem.capacities)
         if self._bytes(current, placement) > self._allowance:
             placement = self._part_of_the_way(problem, current)
         decision = self._decision(Verdict.REBALANCE, problem, current, placement)
