Count platform calls by path and second, lag the VM list, wake watches when down

Cause: tests of the reader budget and of the lagging list need figures and a lag; a document without a version made the stand-in fail instead of serving it. Change: see the title; a watch that was open when the platform went down ends then.

--- a/packages/standins/src/sardineyard/standins/platform.py
+++ b/packages/standins/src/sardineyard/standins/platform.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from enum import Enum, unique
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from sardineyard.core.clock import SystemClock
 from sardineyard.standins.app import App, parser, send_json, serve_until_stopped
 
 if TYPE_CHECKING:
     from sardineyard.core.address import Address
+    from sardineyard.core.clock import Clock
     from sardineyard.httpio.exchange import Exchange
     from sardineyard.httpio.messages import HttpRequest
 
@@ -43,18 +46,41 @@
     mode: Mode | None = None
     document: msgspec.Raw | None = None
     vms: tuple[VmEntry, ...] | None = None
+    # Seconds after which readers see a change of the list of VMs.
+    vms_lag_s: float = 0.0
 
 
 class _Versioned(msgspec.Struct):
     version: int
 
 
+class CallCounter:
+    """Count calls, each read and each watch as one, and the busiest second."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.total = 0
+        self.by_path: dict[str, int] = {}
+        self.peak_per_s = 0
+        self._clock = clock
+        self._recent: deque[float] = deque()
+
+    def count(self, path: str) -> None:
+        """Count one call."""
+        now = self._clock.now()
+        self.total += 1
+        self.by_path[path] = self.by_path.get(path, 0) + 1
+        self._recent.append(now)
+        while self._recent[0] <= now - 1.0:
+            self._recent.popleft()
+        self.peak_per_s = max(self.peak_per_s, len(self._recent))
+
+
 class PlatformApp:
     """Serve one document and one list; nothing can be written but by a test."""
 
-    def __init__(self, address: Address, document: bytes) -> None:
+    def __init__(self, address: Address, document: bytes, clock: Clock) -> None:
         self.mode = Mode.UP
-        self.calls = 0
+        self._calls = CallCounter(clock)
         self._documents = [document]
         self._vms: tuple[VmEntry, ...] = ()
         self._changed = asyncio.Condition()
@@ -77,21 +103,34 @@
 
     @property
     def version(self) -> int:
-        """Return the version of the document that readers see."""
-        return msgspec.json.decode(self.document, type=_Versioned).version
+        """Return the version of the document that readers see.
+
+        The platform does not check values. One without a version counts as newer
+        than the one before it.
+        """
+        for age, document in enumerate(reversed(self._documents)):
+            if self.mode is Mode.STALE and document is not self._documents[0]:
+                continue
+            try:
+                return msgspec.json.decode(document, type=_Versioned).version + age
+            except msgspec.DecodeError:
+                continue
+        return 0
 
     def _is_down(self) -> bool:
         return self.mode is Mode.DOWN
 
     async def _config(self, request: HttpRequest, exchange: Exchange) -> None:
-        self.calls += 1
+        self._calls.count(request.path)
         if self._is_down():
             return
         after = int(request.query.get("after", "-1"))
         wait = min(float(request.query.get("wait", "0")), _MAX_WAIT_S)
         try:
             async with asyncio.timeout(wait), self._changed:
-                await self._changed.wait_for(lambda: self.version > after)
+                await self._changed.wait_for(
+                    lambda: self._is_down() or self.version > after
+                )
         except TimeoutError:
             pass
         if self._is_down():
@@ -106,14 +145,20 @@
         await exchange.send(200, headers, self.document)
 
     async def _vm_list(self, request: HttpRequest, exchange: Exchange) -> None:
-        self.calls += 1
+        self._calls.count(request.path)
         if self.mode is not Mode.DOWN:
             await send_json(exchange, self._vms)
 
     async def _state(self, request: HttpRequest, exchange: Exchange) -> None:
         await send_json(
             exchange,
-            {"mode": self.mode, "calls": self.calls, "version": self.version},
+            {
+                "mode": self.mode,
+                "calls": self._calls.total,
+                "calls_by_path": self._calls.by_path,
+                "peak_calls_per_s": self._calls.peak_per_s,
+                "version": self.version,
+            },
         )
 
     async def _control(self, request: HttpRequest, exchange: Exchange) -> None:
@@ -127,11 +172,15 @@
         if control.mode is not None:
             self.mode = control.mode
         if control.vms is not None:
-            self._vms = control.vms
+            loop = asyncio.get_running_loop()
+            loop.call_later(control.vms_lag_s, self._set_vms, control.vms)
         async with self._changed:
             self._changed.notify_all()
         await send_json(exchange, {"mode": self.mode})
 
+    def _set_vms(self, vms: tuple[VmEntry, ...]) -> None:
+        self._vms = vms
+
 
 def main() -> None:
     """Run the platform until it is stopped."""
@@ -140,7 +189,9 @@
     values = options.parse_args()
 
     async def run() -> None:
-        app = PlatformApp(values.address, values.document.read_bytes()).app
+        app = PlatformApp(
+            values.address, values.document.read_bytes(), SystemClock()
+        ).app
         await serve_until_stopped(app)
 
     asyncio.run(run())
