--- a/packages/configsync/src/sardineyard/configsync/members.py
+++ b/packages/configsync/src/sardineyard/configsync/members.py
@@ -53,6 +53,11 @@
         self._reported_at = 0.0
         self._add(own)
 
+    @property
+    def own(self) -> PeerMember:
+        """Return this process."""
+        return self._own
+
     @property
     def size(self) -> int:
         """Return the number of known processes, this one included."""
--- a/packages/standins/src/sardineyard/standins/platform.py
+++ b/packages/standins/src/sardineyard/standins/platform.py
@@ -44,7 +44,8 @@
     """Change the platform from a test."""
 
     mode: Mode | None = None
-    document: msgspec.Raw | None = None
+    # Any JSON value; the platform does not check values. Empty means no change.
+    document: msgspec.Raw = msgspec.Raw()
     vms: tuple[VmEntry, ...] | None = None
     # Seconds after which readers see a change of the list of VMs.
     vms_lag_s: float = 0.0
@@ -81,7 +82,8 @@
     def __init__(self, address: Address, document: bytes, clock: Clock) -> None:
         self.mode = Mode.UP
         self._calls = CallCounter(clock)
-        self._documents = [document]
+        self._documents: list[tuple[int, bytes]] = []
+        self._publish(document)
         self._vms: tuple[VmEntry, ...] = ()
         self._changed = asyncio.Condition()
         self.app = App(
@@ -97,25 +99,23 @@
     @property
     def document(self) -> bytes:
         """Return the document that readers see."""
-        if self.mode is Mode.STALE and len(self._documents) > 1:
-            return self._documents[0]
-        return self._documents[-1]
+        return self._visible()[1]
 
     @property
     def version(self) -> int:
-        """Return the version of the document that readers see.
-
-        The platform does not check values. One without a version counts as newer
-        than the one before it.
-        """
-        for age, document in enumerate(reversed(self._documents)):
-            if self.mode is Mode.STALE and document is not self._documents[0]:
-                continue
-            try:
-                return msgspec.json.decode(document, type=_Versioned).version + age
-            except msgspec.DecodeError:
-                continue
-        return 0
+        """Return the version of the document that readers see."""
+        return self._visible()[0]
+
+    def _visible(self) -> tuple[int, bytes]:
+        return self._documents[0 if self.mode is Mode.STALE else -1]
+
+    def _publish(self, document: bytes) -> None:
+        try:
+            version = msgspec.json.decode(document, type=_Versioned).version
+        except msgspec.DecodeError:
+            # A value without a version counts as newer than the one before it.
+            version = self._documents[-1][0] + 1 if self._documents else 0
+        self._documents.append((version, document))
 
     def _is_down(self) -> bool:
         return self.mode is Mode.DOWN
@@ -163,12 +163,12 @@
 
     async def _control(self, request: HttpRequest, exchange: Exchange) -> None:
         control = msgspec.json.decode(request.body, type=Control)
-        if control.document is not None:
-            document = bytes(control.document)
+        document = bytes(control.document)
+        if document:
             if len(document) > MAX_VALUE_BYTES:
                 await send_json(exchange, {"error": "value too large"}, 413)
                 return
-            self._documents.append(document)
+            self._publish(document)
         if control.mode is not None:
             self.mode = control.mode
         if control.vms is not None:
