Add membership: states from evidence, last known set, pauses, VM list

Cause: the router asked only whether a session was open, so a pause or a partition of the entry emptied the set, and the VM list was not read. Change: a pure table turns sessions, heartbeats, the VM list and own pauses into states; the router uses it; links hold requests for 1 s while a known session comes back, and check a session again after a pause instead of closing it.

--- a/packages/configsync/src/sardineyard/configsync/follower.py
+++ b/packages/configsync/src/sardineyard/configsync/follower.py
@@ -48,6 +48,7 @@
         self.mailbox: Mailbox[Any] = Mailbox()
         self._reader = PlatformReader(platform, self.mailbox, clock, random)
         self._subscribers = [self._reader.mailbox]
+        self._view_subscribers = [self._reader.mailbox]
         self._clock = clock
         self._gate = StartGate(deadline_after(clock, START_WINDOW_S))
         self._current: DocumentAdopted | None = None
@@ -64,6 +65,10 @@
         """Send each document that comes into force to a mailbox."""
         self._subscribers.append(mailbox)
 
+    def subscribe_view(self, mailbox: Mailbox[Any]) -> None:
+        """Send each change of the view of the fleet to a mailbox."""
+        self._view_subscribers.append(mailbox)
+
     async def run(self) -> None:
         """Read the platform and handle messages for ever."""
         loop = asyncio.get_running_loop()
@@ -99,7 +104,8 @@
 
     @_handle.register(FleetViewChanged)
     def _fleet_view(self, message: FleetViewChanged) -> None:
-        self._reader.mailbox.offer(message)
+        for subscriber in self._view_subscribers:
+            subscriber.offer(message)
 
     @_handle.register(DocumentRequested)
     def _requested(self, message: DocumentRequested) -> None:
--- a/packages/configsync/src/sardineyard/configsync/sync.py
+++ b/packages/configsync/src/sardineyard/configsync/sync.py
@@ -8,6 +8,7 @@
 from sardineyard.configsync.follower import ConfigFollower
 from sardineyard.configsync.messages import DumpPeers
 from sardineyard.configsync.peer_service import PeerService
+from sardineyard.configsync.vm_list import VmListReader
 from sardineyard.core.mailbox import Reply
 
 if TYPE_CHECKING:
@@ -32,6 +33,9 @@
         clock: Clock,
         random: Random,
     ) -> None:
+        self._platform = platform
+        self._random = random
+        self._vm_list: VmListReader | None = None
         self._follower = ConfigFollower(platform, clock, random)
         self._exchange = PeerExchange(own, seeds, self._follower.mailbox, clock, random)
         self.subscribe(self._exchange.mailbox)
@@ -48,10 +52,17 @@
         """Send each document that comes into force to a mailbox."""
         self._follower.subscribe(mailbox)
 
+    def read_vm_list(self, receiver: Mailbox[Any]) -> None:
+        """Read the list of VMs as well and send it to a mailbox."""
+        self._vm_list = VmListReader(self._platform, receiver, self._random)
+        self._follower.subscribe_view(self._vm_list.mailbox)
+
     def start(self, tasks: TaskSet) -> None:
         """Start the tasks; the server of the peer service must listen already."""
         tasks.start("config-follower", self._follower.run())
         tasks.start("peer-exchange", self._exchange.run())
+        if self._vm_list is not None:
+            tasks.start("vm-list-reader", self._vm_list.run())
 
     async def dump(self) -> dict[str, object]:
         """Return what the process knows about the document and its peers."""
--- a/packages/entry/src/sardineyard/entry/agent_link.py
+++ b/packages/entry/src/sardineyard/entry/agent_link.py
@@ -46,6 +46,8 @@
 PING_INTERVAL_S = 0.5
 # A connection without a frame for this time is given up, although it is still open.
 SILENCE_LIMIT_S = 2.0
+# A lost session is usually opened again within this time, when its agent lives.
+_HOLD_S = 1.0
 _FIRST_BACKOFF_S = 0.1
 _LONGEST_BACKOFF_S = 2.0
 
@@ -78,6 +80,10 @@
         self._dial_at = Deadline(0.0)
         self._backoff_s = _FIRST_BACKOFF_S
         self._sequence = 0
+        # Requests that wait for a lost session to come back.
+        self._held: dict[RequestId, tuple[StartRequest, Deadline]] = {}
+        self._was_open = False
+        self._pauses = PauseDetector(clock, PING_INTERVAL_S)
         # singledispatchmethod makes a new wrapper at each access, which cost a
         # twentieth of the processor time on the way of a token.
         self._handle_message = self._handle
@@ -102,14 +108,14 @@
     def _start_request(self, message: StartRequest) -> None:
         request_id = message.request.request_id
         if self._session is None or not self._is_open:
-            error = RequestError(ErrorKind.NO_UPSTREAM, "no session to the agent")
-            message.events.offer(CallFailed(request_id, error))
+            self._hold(message)
             return
         self._calls[request_id] = message.events
         self._session.outbox.post(message.request)
 
     @_handle.register(CancelRequest)
     def _cancel_request(self, message: CancelRequest) -> None:
+        self._held.pop(message.request_id, None)
         if self._calls.pop(message.request_id, None) is not None and self._session:
             self._session.outbox.offer(CancelCall(message.request_id))
 
@@ -117,7 +123,11 @@
     def _session_opened(self, message: SessionOpened) -> None:
         if message.session == self._number:
             self._is_open = True
+            self._was_open = True
             self._backoff_s = _FIRST_BACKOFF_S
+            held, self._held = self._held, {}
+            for request, _ in held.values():
+                self._start_request(request)
 
     @_handle.register(FrameReceived)
     def _frame_received(self, message: FrameReceived) -> None:
@@ -137,6 +147,11 @@
     @_handle.register(PingDue)
     def _ping_due(self, message: PingDue) -> None:
         now = self._clock.now()
+        if self._pauses.tick():
+            # Frames that arrived during the pause wait in the socket. The session is
+            # checked with a new ping before its silence counts.
+            self._silent_at = deadline_after(self._clock, SILENCE_LIMIT_S)
+        self._fail_held(now)
         if self._session is None:
             if now >= self._dial_at:
                 self._dial()
@@ -205,6 +220,24 @@
             events.offer(CallFailed(request_id, error))
         self._calls.clear()
 
+    def _hold(self, message: StartRequest) -> None:
+        """Keep a request while the session may come back; nothing is sent yet."""
+        if not self._was_open:
+            self._refuse(message)
+            return
+        until = deadline_after(self._clock, _HOLD_S)
+        self._held[message.request.request_id] = (message, until)
+
+    def _fail_held(self, now: float) -> None:
+        for request_id, (message, until) in list(self._held.items()):
+            if now >= until:
+                del self._held[request_id]
+                self._refuse(message)
+
+    def _refuse(self, message: StartRequest) -> None:
+        error = RequestError(ErrorKind.NO_UPSTREAM, "no session to the agent")
+        message.events.offer(CallFailed(message.request.request_id, error))
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(PING_INTERVAL_S)
--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -59,6 +59,7 @@
             Random(),
         )
         self._sync.subscribe(self._router.mailbox)
+        self._sync.read_vm_list(self._router.mailbox)
         attempts = Attempts(self._router.mailbox, clock)
         self._front = CallerFront(
             self._directory,
--- a/packages/entry/src/sardineyard/entry/messages.py
+++ b/packages/entry/src/sardineyard/entry/messages.py
@@ -121,6 +121,11 @@
     load: LoadReport
 
 
+@dataclass(frozen=True, slots=True)
+class PauseCheckDue:
+    """Tell the router to check whether this process was paused."""
+
+
 @dataclass(frozen=True, slots=True)
 class DumpRouter:
     """Ask the router for its state."""
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
@@ -10,11 +11,12 @@
 import xxhash
 from returns.result import Failure, Success
 
-from sardineyard.configsync.messages import DocumentAdopted
+from sardineyard.configsync.messages import DocumentAdopted, VmListRead
 from sardineyard.core.address import parse_address
 from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.requests import Generation, ServiceCall
+from sardineyard.core.states import UpstreamState
 from sardineyard.entry.agent_link import AgentLink
 from sardineyard.entry.messages import (
     AskRetry,
@@ -23,9 +25,19 @@
     LinkDown,
     LinkUp,
     LoadReceived,
+    PauseCheckDue,
     Pick,
     PickUpstream,
 )
+from sardineyard.membership.evidence import (
+    Heartbeat,
+    OwnPause,
+    SessionDown,
+    SessionUp,
+    VmReport,
+)
+from sardineyard.membership.pauses import PauseDetector
+from sardineyard.membership.table import MembershipTable
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -39,6 +51,9 @@
     from sardineyard.document.model import Service, Upstream
     from sardineyard.wire.control import Hello
 
+_logger = logging.getLogger(__name__)
+
+_PAUSE_CHECK_INTERVAL_S = 0.25
 _RETRY_TOKENS_PER_SUCCESS = 0.1
 _MAX_RETRY_TOKENS = 10.0
 
@@ -54,12 +69,6 @@
     in_flight: int = 0
     load: LoadReport | None = None
 
-    @property
-    def usable(self) -> bool:
-        """Return whether new work may go to the upstream."""
-        draining = self.load is not None and self.load.draining
-        return self.incarnation is not None and not draining
-
 
 class Router:
     """Choose upstreams by power of two choices and own the links to their agents."""
@@ -71,14 +80,18 @@
         self._random = random
         self._known: dict[UpstreamId, _Known] = {}
         self._services: dict[ServiceName, Service] = {}
+        self._members = MembershipTable(clock)
+        self._pauses = PauseDetector(clock, _PAUSE_CHECK_INTERVAL_S)
         self._retry_tokens = _MAX_RETRY_TOKENS
 
     async def run(self) -> None:
         """Handle messages for ever."""
+        ticker = asyncio.get_running_loop().create_task(self._tick())
         try:
             while True:
                 self._handle(await self.mailbox.receive())
         finally:
+            ticker.cancel()
             for known in self._known.values():
                 known.task.cancel()
 
@@ -99,8 +112,10 @@
             ):
                 known.task.cancel()
                 del self._known[upstream_id]
+                self._members.forget(upstream_id)
             else:
                 known.upstream = replacement
+        self._members.configure(wanted)
         for upstream in wanted.values():
             if upstream.id not in self._known:
                 self._add(upstream)
@@ -111,8 +126,9 @@
         match picked:
             case Success(known):
                 known.in_flight += 1
-                assert known.incarnation is not None
-                pick = Pick(known.upstream.id, known.incarnation, known.link.mailbox)
+                incarnation = self._members.incarnation(known.upstream.id)
+                assert incarnation is not None
+                pick = Pick(known.upstream.id, incarnation, known.link.mailbox)
                 message.reply.send(Success(pick))
             case Failure(error):
                 message.reply.send(Failure(error))
@@ -139,6 +155,7 @@
         known = self._known.get(message.upstream)
         if known is not None:
             known.incarnation = message.incarnation
+            self._members.learn(SessionUp(message.upstream, message.incarnation))
 
     @_handle.register(LinkDown)
     def _link_down(self, message: LinkDown) -> None:
@@ -146,12 +163,39 @@
         if known is not None:
             known.incarnation = None
             known.load = None
+            self._members.learn(SessionDown(message.upstream))
 
     @_handle.register(LoadReceived)
     def _load_received(self, message: LoadReceived) -> None:
-        known = self._known.get(message.load.upstream)
+        load = message.load
+        known = self._known.get(load.upstream)
         if known is not None:
-            known.load = message.load
+            known.load = load
+            self._members.learn(
+                Heartbeat(load.upstream, load.incarnation, load.draining)
+            )
+
+    @_handle.register(VmListRead)
+    def _vm_list_read(self, message: VmListRead) -> None:
+        ids = {
+            parse_address(known.upstream.agent_address): upstream_id
+            for upstream_id, known in self._known.items()
+        }
+        live, leaving = (
+            frozenset(ids[address] for address in addresses if address in ids)
+            for addresses in (message.live, message.leaving)
+        )
+        self._members.learn(VmReport(live, leaving))
+
+    @_handle.register(PauseCheckDue)
+    def _pause_check_due(self, message: PauseCheckDue) -> None:
+        paused_s = self._pauses.tick()
+        if paused_s:
+            _logger.warning(
+                "this process was paused, its view of the upstreams is checked again",
+                extra={"event": "own_pause", "paused_s": round(paused_s, 3)},
+            )
+            self._members.learn(OwnPause(paused_s))
 
     @_handle.register(DumpRouter)
     def _dump(self, message: DumpRouter) -> None:
@@ -162,7 +206,8 @@
                     {
                         "upstream": known.upstream.id,
                         "incarnation": known.incarnation,
-                        "usable": known.usable,
+                        "usable": self._is_live(known),
+                        "state": self._members.state(known.upstream.id),
                         "in_flight": known.in_flight,
                     }
                     for known in self._known.values()
@@ -189,11 +234,12 @@
     ) -> Result[_Known, RequestError]:
         if isinstance(request, ServiceCall) and request.idempotency_key is not None:
             return self._pick_owner(request)
-        candidates = [
-            known
+        usable = self._members.usable(
+            known.upstream.id
             for known in self._candidates(request)
-            if known.usable and known.upstream.id not in excluded
-        ]
+            if known.upstream.id not in excluded
+        )
+        candidates = [self._known[each] for each in usable.live or usable.reserve]
         if not candidates:
             return Failure(RequestError(ErrorKind.NO_UPSTREAM))
         pair = self._random.sample(candidates, min(2, len(candidates)))
@@ -207,10 +253,18 @@
             key=lambda upstream: xxhash.xxh3_64_intdigest(f"{upstream}{tail}".encode()),
         )
         known = self._known.get(owner)
-        if known is None or not known.usable:
+        if known is None or not self._is_live(known):
             return Failure(RequestError(ErrorKind.OWNER_UNAVAILABLE))
         return Success(known)
 
+    def _is_live(self, known: _Known) -> bool:
+        return self._members.state(known.upstream.id) is UpstreamState.LIVE
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_PAUSE_CHECK_INTERVAL_S)
+            self.mailbox.offer(PauseCheckDue())
+
     def _candidates(self, request: Generation | ServiceCall) -> Iterable[_Known]:
         if isinstance(request, Generation):
             return [
