--- a/packages/entry/src/sardineyard/entry/attempts.py
+++ b/packages/entry/src/sardineyard/entry/attempts.py
@@ -18,13 +18,16 @@
     from sardineyard.core.mailbox import Mailbox
     from sardineyard.core.requests import Generation, ServiceAnswer, ServiceCall
     from sardineyard.entry.generation_run import GenerationStep
+    from sardineyard.telemetry.metrics import EntryMetrics
 
 
 class Attempts:
     """Start the run of each request."""
 
-    def __init__(self, router: Mailbox[Any], clock: Clock) -> None:
-        self._router = RouterClient(router)
+    def __init__(
+        self, router: Mailbox[Any], clock: Clock, metrics: EntryMetrics
+    ) -> None:
+        self._router = RouterClient(router, metrics)
         self._clock = clock
 
     def generate(self, request: Generation) -> AsyncGenerator[GenerationStep, None]:
--- a/packages/entry/src/sardineyard/entry/generation_run.py
+++ b/packages/entry/src/sardineyard/entry/generation_run.py
@@ -96,7 +96,7 @@
             self._excluded |= {pick.upstream}
             if self._error.kind not in OTHER_UPSTREAM_MAY_HELP:
                 break
-            if not await self._router.may_retry():
+            if not await self._router.may_retry(self._error):
                 break
         yield self._error
 
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -38,6 +38,7 @@
 )
 from sardineyard.membership.pauses import PauseDetector
 from sardineyard.membership.table import MembershipTable
+from sardineyard.telemetry.state import UpstreamView
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -46,6 +47,7 @@
     from returns.result import Result
 
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import Incarnation, ServiceName, UpstreamId
     from sardineyard.core.requests import LoadReport
     from sardineyard.document.model import Service, Upstream
@@ -73,11 +75,18 @@
 class Router:
     """Choose upstreams by power of two choices and own the links to their agents."""
 
-    def __init__(self, hello: Hello, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        clock: Clock,
+        random: Random,
+        meter: ControlMeter,
+    ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._hello = hello
         self._clock = clock
         self._random = random
+        self._meter = meter
         self._known: dict[UpstreamId, _Known] = {}
         self._services: dict[ServiceName, Service] = {}
         self._members = MembershipTable(clock)
@@ -199,21 +208,7 @@
 
     @_handle.register(DumpRouter)
     def _dump(self, message: DumpRouter) -> None:
-        message.reply.send(
-            {
-                "retry_tokens": self._retry_tokens,
-                "upstreams": [
-                    {
-                        "upstream": known.upstream.id,
-                        "incarnation": known.incarnation,
-                        "usable": self._is_live(known),
-                        "state": self._members.state(known.upstream.id),
-                        "in_flight": known.in_flight,
-                    }
-                    for known in self._known.values()
-                ],
-            }
-        )
+        message.reply.send(tuple(self._view(known) for known in self._known.values()))
 
     def _add(self, upstream: Upstream) -> None:
         link = AgentLink(
@@ -223,6 +218,7 @@
             self.mailbox,
             self._clock,
             self._random,
+            self._meter,
         )
         task = asyncio.get_running_loop().create_task(
             link.run(), name=f"agent-link-{upstream.id}"
@@ -257,6 +253,18 @@
             return Failure(RequestError(ErrorKind.OWNER_UNAVAILABLE))
         return Success(known)
 
+    def _view(self, known: _Known) -> UpstreamView:
+        load = known.load
+        return UpstreamView(
+            upstream=known.upstream.id,
+            state=self._members.state(known.upstream.id),
+            in_flight=known.in_flight,
+            connected=known.incarnation is not None,
+            incarnation=known.incarnation,
+            queued=load.queued if load else 0,
+            running=load.running if load else 0,
+        )
+
     def _is_live(self, known: _Known) -> bool:
         return self._members.state(known.upstream.id) is UpstreamState.LIVE
 
