Test membership with real processes: leaving, killed, paused, partitioned, silent

Cause: the router's use of membership had no test that a missing mechanism fails. Change: property tests of the table, and tests with processes through a proxy in the test process that reads and drops bytes without a reset.

--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -1,13 +1,23 @@
 """Fixtures of the entry tests."""
 
-from collections.abc import Callable
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 import pytest
 
+from sardineyard.core.address import Address
 from sardineyard.core.ids import RequestId
 from sardineyard.core.requests import GenerationEnd, TokenBatch
 from sardineyard.core.states import FinishReason
 
+if TYPE_CHECKING:
+    from sardineyard.standins.fleet import Fleet
+
+ProxyAgents: TypeAlias = Callable[..., Awaitable[list["SwallowingProxy"]]]
+
 
 @pytest.fixture
 def batch() -> Callable[..., TokenBatch]:
@@ -27,3 +37,105 @@
         return GenerationEnd(RequestId("r"), count, FinishReason.LENGTH)
 
     return make
+
+
+class SwallowingProxy:
+    """Relay connections to an agent, or read their bytes and drop them.
+
+    A swallowed connection stays open and is never reset, on both sides.
+    """
+
+    def __init__(self, target: Address) -> None:
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._silent: set[int] = set()
+        self._writers: dict[int, tuple[asyncio.StreamWriter, ...]] = {}
+        self._count = 0
+        self.swallows_new = False
+
+    @property
+    def address(self) -> Address:
+        """Return the address on which the proxy listens."""
+        assert self._server is not None
+        return Address(*self._server.sockets[0].getsockname())
+
+    async def start(self) -> None:
+        """Start to listen on a port that the operating system chooses."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+
+    def swallow_open(self) -> None:
+        """Drop all bytes of the connections that are open now, for ever."""
+        self._silent.update(range(self._count))
+
+    def cut_silent(self) -> None:
+        """Close the connections whose bytes were dropped, as a healed network would."""
+        for number in self._silent:
+            for writer in self._writers.pop(number, ()):
+                writer.close()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        number, self._count = self._count, self._count + 1
+        if self.swallows_new:
+            self._silent.add(number)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self._target.host, self._target.port
+            )
+        except OSError:
+            writer.close()
+            return
+        self._writers[number] = (writer, far_writer)
+        await asyncio.gather(
+            self._pump(number, reader, far_writer),
+            self._pump(number, far_reader, writer),
+        )
+
+    async def _pump(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(65_536):
+                if number not in self._silent:
+                    writer.write(data)
+        except OSError:
+            pass
+        if number not in self._silent:
+            writer.close()
+
+
+@pytest.fixture
+def proxy_agents() -> ProxyAgents:
+    """Return a function that puts a proxy in front of some agents of a fleet."""
+
+    async def put(fleet: Fleet, *upstreams: str) -> list[SwallowingProxy]:
+        proxies = {}
+        for upstream in upstreams:
+            proxies[upstream] = SwallowingProxy(fleet.ports[f"agent-{upstream}"].peer)
+            await proxies[upstream].start()
+        changed = [
+            {**entry, "agent_address": str(proxies[entry["id"]].address)}
+            if entry["id"] in proxies
+            else entry
+            for entry in fleet.document["upstreams"]
+        ]
+        await fleet.publish({**fleet.document, "version": 2, "upstreams": changed})
+        async with asyncio.timeout(10.0):
+            while (await fleet.state("entry-1"))["config"]["version"] != 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        await fleet.wait_linked("entry-1", len(changed))
+        return list(proxies.values())
+
+    return put
+
+
+@pytest.fixture
+def upstream_states() -> Callable[[Fleet], Awaitable[dict[str, dict[str, Any]]]]:
+    """Return a function that reads the entry's view of each upstream."""
+
+    async def read(fleet: Fleet) -> dict[str, dict[str, Any]]:
+        views = (await fleet.state("entry-1"))["upstreams"]
+        return {view["upstream"]: view for view in views}
+
+    return read
--- /dev/null
+++ b/packages/membership/tests/test_table.py
@@ -0,0 +1,123 @@
+"""Tests of the states of upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hypothesis import HealthCheck, given, settings, strategies
+
+from sardineyard.core.ids import Incarnation
+from sardineyard.core.states import UpstreamState
+from sardineyard.membership.evidence import (
+    Heartbeat,
+    OwnPause,
+    SessionDown,
+    SessionUp,
+    VmReport,
+)
+from sardineyard.membership.pauses import PauseDetector
+from sardineyard.membership.table import GONE_AFTER_S, LAST_KNOWN_FOR_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.core.clock import ManualClock
+    from sardineyard.core.ids import UpstreamId
+    from sardineyard.membership.table import MembershipTable
+
+ONE, TWO = Incarnation(1), Incarnation(2)
+NOBODY: frozenset[UpstreamId] = frozenset()
+
+
+def test_silence_makes_suspect_and_a_heartbeat_live(
+    make_table: Callable[[], MembershipTable], clock: ManualClock, upstreams
+) -> None:
+    """Guards against work for an agent that died without closing its connection."""
+    table = make_table()
+    clock.advance(2.4)
+    assert table.state(upstreams[0]) is UpstreamState.LIVE
+    clock.advance(0.2)
+    assert table.state(upstreams[0]) is UpstreamState.SUSPECT
+    table.learn(Heartbeat(upstreams[0], TWO, draining=False))
+    assert table.state(upstreams[0]) is UpstreamState.SUSPECT, "another incarnation"
+    table.learn(Heartbeat(upstreams[0], ONE, draining=False))
+    assert table.state(upstreams[0]) is UpstreamState.LIVE
+
+
+def test_either_report_of_leaving_stops_new_work(
+    make_table: Callable[[], MembershipTable], upstreams
+) -> None:
+    """Guards against new work for an upstream that leaves, when one source lags."""
+    table = make_table()
+    table.learn(VmReport(frozenset(upstreams[1:]), frozenset(upstreams[:1])))
+    table.learn(Heartbeat(upstreams[1], ONE, draining=True))
+    states = [table.state(upstream) for upstream in upstreams[:3]]
+    assert states == [UpstreamState.LEAVING, UpstreamState.LEAVING, UpstreamState.LIVE]
+    assert set(table.usable(upstreams).live) == set(upstreams[2:])
+    table.learn(SessionUp(upstreams[1], TWO))
+    assert table.state(upstreams[1]) is UpstreamState.LIVE, "its successor serves"
+
+
+def test_the_last_known_set_holds_until_upstreams_are_gone(
+    make_table: Callable[[], MembershipTable], clock: ManualClock, upstreams
+) -> None:
+    """Guards against a partition of this process that empties the set."""
+    table = make_table()
+    for upstream in upstreams[:2]:
+        table.learn(SessionDown(upstream))
+    assert table.usable(upstreams).reserve == (), "a minority is left out"
+    table.learn(SessionDown(upstreams[2]))
+    assert table.usable(upstreams).live == upstreams[3:]
+    assert table.usable(upstreams).reserve == upstreams[:3]
+    table.learn(VmReport(frozenset(upstreams[1:]), NOBODY))
+    assert table.usable(upstreams).reserve == upstreams[:3], "the list lags"
+    clock.advance(GONE_AFTER_S + 1)
+    assert table.state(upstreams[0]) is UpstreamState.GONE
+    assert upstreams[0] not in table.usable(upstreams).reserve
+    clock.advance(LAST_KNOWN_FOR_S)
+    assert table.usable(upstreams).reserve == ()
+
+
+def test_a_pause_of_this_process_makes_nobody_suspect(
+    make_table: Callable[[], MembershipTable], clock: ManualClock, upstreams
+) -> None:
+    """Guards against a process that blames the upstreams for its own pause."""
+    table = make_table()
+    pauses = PauseDetector(clock, 0.25)
+    clock.advance(1.2)
+    assert pauses.tick() == 0.0
+    clock.advance(30.25)
+    paused_s = pauses.tick()
+    assert paused_s == 30.0
+    assert table.state(upstreams[0]) is UpstreamState.SUSPECT
+    table.learn(OwnPause(paused_s))
+    assert table.state(upstreams[0]) is UpstreamState.LIVE
+
+
+@settings(deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(data=strategies.data())
+def test_no_evidence_brings_a_leaving_or_unknown_upstream_into_a_set(
+    make_table: Callable[[], MembershipTable], clock: ManualClock, upstreams, data
+) -> None:
+    """Guards against a sequence of evidence that lets work through to a leaving VM."""
+    table = make_table()
+    ids = strategies.sampled_from(upstreams)
+    incarnations = strategies.sampled_from([ONE, TWO])
+    evidence = strategies.one_of(
+        strategies.builds(SessionUp, ids, incarnations),
+        strategies.builds(Heartbeat, ids, incarnations, strategies.booleans()),
+        strategies.builds(SessionDown, ids),
+        strategies.builds(OwnPause, strategies.floats(1, 60)),
+        strategies.builds(
+            VmReport, strategies.frozensets(ids), strategies.frozensets(ids)
+        ),
+    )
+    for piece in data.draw(strategies.lists(evidence, max_size=20)):
+        table.learn(piece)
+        clock.advance(data.draw(strategies.sampled_from([0.0, 0.5, 3.0])))
+        usable = table.usable(upstreams)
+        assert not set(usable.live) & set(usable.reserve)
+        for upstream in usable.live:
+            assert table.state(upstream) is UpstreamState.LIVE
+        for upstream in usable.reserve:
+            assert table.state(upstream) is UpstreamState.SUSPECT
