--- a/packages/configsync/tests/conftest.py
+++ b/packages/configsync/tests/conftest.py
@@ -60,7 +60,7 @@
             if line.startswith("{"):
                 entry = json.loads(line)
                 if entry.get("event") == event:
-                    moment = datetime.fromisoformat(entry["timestamp"])
+                    moment = datetime.fromisoformat(entry["time"])
                     yield {**entry, "at": moment.timestamp()}
 
     def read(fleet: Fleet, process: str, event: str) -> list[dict[str, Any]]:
