--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -11,8 +11,8 @@
 from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
 from sardineyard.agent.scheduler import Scheduler
 from sardineyard.agent.service import AgentService
-from sardineyard.configsync.follower import ConfigFollower
-from sardineyard.configsync.peer_service import PeerService
+from sardineyard.configsync.members import PeerMember
+from sardineyard.configsync.sync import ConfigSync
 from sardineyard.core.ids import UpstreamId
 from sardineyard.core.mailbox import Reply
 from sardineyard.core.states import ProcessState, UpstreamKind
@@ -26,10 +26,7 @@
 from sardineyard.telemetry.state import AgentDump
 
 if TYPE_CHECKING:
-    from typing import Any
-
     from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
     from sardineyard.core.requests import LoadReport
     from sardineyard.runner import Runner
     from sardineyard.settings.processes import AgentSettings
@@ -54,21 +51,32 @@
             upstream, incarnation, self._runner(), clock, self._measured
         )
         self._key_owner = KeyOwner(self._scheduler.mailbox)
-        subscribers: list[Mailbox[Any]] = [self._scheduler.mailbox]
-        self._follower = ConfigFollower(
-            settings.platform_address, Random(), subscribers
+        self._sync = ConfigSync(
+            PeerMember(
+                self._identity.process,
+                self._identity.advertised_address,
+                incarnation,
+                self._identity.failure_domain,
+                clock.now(),
+            ),
+            settings.platform_address,
+            settings.seed_peers,
+            clock,
+            Random(),
+        )
+        self._sync.subscribe(self._scheduler.mailbox)
+        self._service = AgentService(
+            upstream,
+            incarnation,
+            self._scheduler.mailbox,
+            self._key_owner.mailbox,
+            clock,
+            self._measured,
         )
         self._server = Server(
             [
-                AgentService(
-                    upstream,
-                    incarnation,
-                    self._scheduler.mailbox,
-                    self._key_owner.mailbox,
-                    clock,
-                    self._measured,
-                ),
-                PeerService(self._identity.process, incarnation, self._follower),
+                self._service,
+                self._sync.service,
             ]
         )
         self._admin = AdminServer(
@@ -79,9 +87,9 @@
         """Start the tasks and listen."""
         self._tasks.start("scheduler", self._scheduler.run())
         self._tasks.start("key-owner", self._key_owner.run())
-        self._tasks.start("config-follower", self._follower.run())
         address = self._settings.peer_address
         await self._server.start(address.host, address.port)
+        self._sync.start(self._tasks)
         await self._admin.start()
         self._state = ProcessState.SERVING
 
@@ -91,6 +99,8 @@
         reply: Reply[None] = Reply()
         self._scheduler.mailbox.post(Drain(reply))
         await reply.wait()
+        # The last events of the calls may still wait in the sessions.
+        await self._service.flush()
 
     async def close(self) -> list[str]:
         """End all tasks and return the ids of the requests that were cut."""
@@ -112,9 +122,7 @@
         return PlainService(self._pool)
 
     def _is_ready(self) -> bool:
-        return (
-            self._state is ProcessState.SERVING and self._follower.current is not None
-        )
+        return self._state is ProcessState.SERVING and self._sync.current is not None
 
     async def _dump(self) -> AgentDump:
         load = await self._load()
@@ -124,13 +132,14 @@
             failure_domain=self._identity.failure_domain,
             state=self._state,
             uptime_s=self._clock.now() - self._started,
-            document=document_in_force(self._follower.current),
+            document=document_in_force(self._sync.current),
             tasks=tuple(self._tasks.names),
             upstream=load.upstream,
             slots=load.slots,
             running=load.running,
             queued=load.queued,
             queues=await self._queues(),
+            config=await self._sync.dump(),
         )
 
     async def _load(self) -> LoadReport:
@@ -144,7 +153,7 @@
         return await reply.wait()
 
     async def _metrics(self) -> tuple[dict[str, str], bytes]:
-        measure_process(self._measured, self._state, self._follower.current)
+        measure_process(self._measured, self._state, self._sync.current)
         for queue in await self._queues():
             self._measured.queued(queue.priority, queue.queued)
         self._measured.running((await self._load()).running)
--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from grpclib.server import Server
 
-from sardineyard.configsync.follower import ConfigFollower
-from sardineyard.configsync.peer_service import PeerService
+from sardineyard.configsync.members import PeerMember
+from sardineyard.configsync.sync import ConfigSync
 from sardineyard.core.mailbox import Reply
 from sardineyard.core.states import ProcessState, UpstreamState
 from sardineyard.core.tasks import TaskSet
@@ -31,7 +31,6 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
     from sardineyard.settings.processes import EntrySettings
     from sardineyard.telemetry.state import UpstreamView
 
@@ -54,10 +53,20 @@
         self._started = clock.now()
         self._measured = EntryMetrics(settings.process)
         self._router = Router(hello, clock, Random(), self._measured)
-        subscribers: list[Mailbox[Any]] = [self._router.mailbox]
-        self._follower = ConfigFollower(
-            settings.platform_address, Random(), subscribers
+        self._sync = ConfigSync(
+            PeerMember(
+                self._identity.process,
+                self._identity.advertised_address,
+                self._identity.incarnation,
+                self._identity.failure_domain,
+                clock.now(),
+            ),
+            settings.platform_address,
+            settings.seed_peers,
+            clock,
+            Random(),
         )
+        self._sync.subscribe(self._router.mailbox)
         attempts = Attempts(self._router.mailbox, clock, self._measured)
         self._front = CallerFront(
             self._directory,
@@ -74,13 +83,7 @@
             self._front.refuse,
             HttpLimits(),
         )
-        self._peers = Server(
-            [
-                PeerService(
-                    self._identity.process, self._identity.incarnation, self._follower
-                )
-            ]
-        )
+        self._peers = Server([self._sync.service])
         self._admin = AdminServer(
             settings.admin_address, self._is_ready, self._dump, self._metrics
         )
@@ -88,9 +91,9 @@
     async def start(self) -> None:
         """Start the tasks and listen."""
         self._tasks.start("router", self._router.run())
-        self._tasks.start("config-follower", self._follower.run())
         address = self._settings.peer_address
         await self._peers.start(address.host, address.port)
+        self._sync.start(self._tasks)
         await self._admin.start()
         await self._callers.start()
         self._state = ProcessState.SERVING
@@ -116,7 +119,7 @@
         await self._tasks.wait_failed()
 
     def _directory(self) -> Directory | None:
-        current = self._follower.current
+        current = self._sync.current
         if current is None:
             return None
         if self._indexed is None or self._indexed[0] is not current:
@@ -127,9 +130,7 @@
         return self._state is ProcessState.DRAINING
 
     def _is_ready(self) -> bool:
-        return (
-            self._state is ProcessState.SERVING and self._follower.current is not None
-        )
+        return self._state is ProcessState.SERVING and self._sync.current is not None
 
     async def _dump(self) -> EntryDump:
         requests = self._front.request_views
@@ -139,11 +140,12 @@
             failure_domain=self._identity.failure_domain,
             state=self._state,
             uptime_s=self._clock.now() - self._started,
-            document=document_in_force(self._follower.current),
+            document=document_in_force(self._sync.current),
             tasks=tuple(self._tasks.names),
             teams=team_views(requests),
             requests=requests,
             upstreams=await self._upstreams(),
+            config=await self._sync.dump(),
         )
 
     async def _upstreams(self) -> tuple[UpstreamView, ...]:
@@ -152,7 +154,7 @@
         return await reply.wait()
 
     async def _metrics(self) -> tuple[dict[str, str], bytes]:
-        measure_process(self._measured, self._state, self._follower.current)
+        measure_process(self._measured, self._state, self._sync.current)
         states = [view.state for view in await self._upstreams()]
         for state in UpstreamState:
             self._measured.upstreams(state, states.count(state))
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -102,6 +102,8 @@
     peers: tuple[PeerView, ...] = ()
     teams: tuple[TeamView, ...] = ()
     requests: tuple[RequestView, ...] = ()
+    # What the process knows about the document and its peers.
+    config: dict[str, object] = {}
 
 
 class EntryDump(ProcessDump, frozen=True, kw_only=True, tag_field="role", tag="entry"):
