Count control traffic of peers and platform and type the view of the fleet

Cause: the capacity page needs bytes and messages of every control channel, and the dump held a dictionary.

Change: the peer exchange, the peer service and the platform reader count their messages through ControlMeter; ConfigView replaces the dictionary and the unused list of peers is gone.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -19,7 +19,7 @@
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
-from sardineyard.daemon.observe import document_in_force, measure_process
+from sardineyard.daemon.observe import config_view, document_in_force, measure_process
 from sardineyard.httpio.pool import ConnectionPool
 from sardineyard.runner import ModelRunner, PlainService
 from sardineyard.telemetry.metrics import AgentMetrics
@@ -63,6 +63,7 @@
             settings.seed_peers,
             clock,
             Random(),
+            self._measured,
         )
         self._sync.subscribe(self._scheduler.mailbox)
         self._service = AgentService(
@@ -139,7 +140,7 @@
             running=load.running,
             queued=load.queued,
             queues=await self._queues(),
-            config=await self._sync.dump(),
+            config=config_view(await self._sync.dump()),
         )
 
     async def _load(self) -> LoadReport:
--- a/packages/cli/src/sardineyard/cli/state.py
+++ b/packages/cli/src/sardineyard/cli/state.py
@@ -137,7 +137,7 @@
     return [
         _rows("teams", dump.teams),
         _rows("open requests", dump.requests),
-        _rows("peers", dump.peers),
+        *([_rows("configuration", (dump.config,))] if dump.config else []),
     ]
 
 
--- a/packages/configsync/src/sardineyard/configsync/channels.py
+++ b/packages/configsync/src/sardineyard/configsync/channels.py
@@ -8,6 +8,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.wire import peer_pb2 as pb
 from sardineyard.wire.peer_grpc import PeerStub
 
@@ -15,6 +16,7 @@
     from collections.abc import Iterable
 
     from sardineyard.core.address import Address
+    from sardineyard.core.control import ControlMeter
 
 CALL_FAILURES = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
 
@@ -27,19 +29,24 @@
 class PeerChannels:
     """Keep channels open and close those that are no longer used."""
 
-    def __init__(self) -> None:
+    def __init__(self, meter: ControlMeter) -> None:
+        self._meter = meter
         self._channels: dict[Address, Channel] = {}
 
     async def exchange(self, address: Address, state: pb.PeerState) -> pb.PeerState:
         """Send the own state to a peer and return the peer's state."""
         async with asyncio.timeout(_EXCHANGE_TIMEOUT_S):
-            return await PeerStub(self._channel(address)).Exchange(state)
+            self._count(Direction.SENT, state.ByteSize())
+            answer = await PeerStub(self._channel(address)).Exchange(state)
+            self._count(Direction.RECEIVED, answer.ByteSize())
+            return answer
 
     async def fetch_document(self, address: Address) -> bytes:
         """Return the bytes of the document that is in force at a peer."""
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
             stub = PeerStub(self._channel(address))
             reply = await stub.FetchDocument(pb.FetchDocumentRequest())
+            self._count(Direction.RECEIVED, reply.ByteSize())
             return reply.document
 
     def drop(self, addresses: Iterable[Address]) -> None:
@@ -53,6 +60,9 @@
         """Close every channel."""
         self.drop(list(self._channels))
 
+    def _count(self, direction: Direction, size: int) -> None:
+        self._meter.control_message(ControlChannel.PEER, direction, size)
+
     def _channel(self, address: Address) -> Channel:
         channel = self._channels.get(address)
         if channel is None:
--- a/packages/configsync/src/sardineyard/configsync/exchange.py
+++ b/packages/configsync/src/sardineyard/configsync/exchange.py
@@ -40,6 +40,7 @@
     from sardineyard.configsync.reading import FleetView
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.document.order import DocumentOrder
 
 _logger = logging.getLogger(__name__)
@@ -61,6 +62,7 @@
         follower: Mailbox[Any],
         clock: Clock,
         random: Random,
+        meter: ControlMeter,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._own = own
@@ -70,7 +72,7 @@
         self._random = random
         self._table = MemberTable(own)
         self._neighbours = Neighbours(random)
-        self._channels = PeerChannels()
+        self._channels = PeerChannels(meter)
         self._agents: tuple[Address, ...] = ()
         self._order: DocumentOrder | None = None
         self._view: FleetView | None = None
--- a/packages/configsync/src/sardineyard/configsync/follower.py
+++ b/packages/configsync/src/sardineyard/configsync/follower.py
@@ -35,6 +35,7 @@
 
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.document.model import Document, DocumentDigest
     from sardineyard.document.violations import Violation
 
@@ -44,9 +45,11 @@
 class ConfigFollower:
     """Own the document in force and publish each greater one."""
 
-    def __init__(self, platform: Address, clock: Clock, random: Random) -> None:
+    def __init__(
+        self, platform: Address, clock: Clock, random: Random, meter: ControlMeter
+    ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
-        self._reader = PlatformReader(platform, self.mailbox, clock, random)
+        self._reader = PlatformReader(platform, self.mailbox, clock, random, meter)
         self._subscribers = [self._reader.mailbox]
         self._clock = clock
         self._gate = StartGate(deadline_after(clock, START_WINDOW_S))
--- a/packages/configsync/src/sardineyard/configsync/peer_service.py
+++ b/packages/configsync/src/sardineyard/configsync/peer_service.py
@@ -7,6 +7,7 @@
 from sardineyard.configsync.dialing import identify
 from sardineyard.configsync.messages import DocumentRequested, PeerCalled
 from sardineyard.core.address import parse_address
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.core.mailbox import Reply
 from sardineyard.wire import peer_pb2 as pb
 from sardineyard.wire.peer_grpc import PeerBase
@@ -15,6 +16,7 @@
     from grpclib.server import Stream
 
     from sardineyard.configsync.messages import DocumentAdopted
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import Incarnation, ProcessId
     from sardineyard.core.mailbox import Mailbox
 
@@ -28,11 +30,13 @@
         incarnation: Incarnation,
         follower: Mailbox[Any],
         exchange: Mailbox[Any],
+        meter: ControlMeter,
     ) -> None:
         self._process = process
         self._incarnation = incarnation
         self._follower = follower
         self._exchange = exchange
+        self._meter = meter
 
     async def Exchange(self, stream: Stream[pb.PeerState, pb.PeerState]) -> None:  # noqa: N802
         """Take the state of a peer and answer with the own one."""
@@ -41,7 +45,10 @@
             return
         reply: Reply[pb.PeerState] = Reply()
         self._exchange.post(PeerCalled(state, reply))
-        await stream.send_message(await reply.wait())
+        answer = await reply.wait()
+        self._count(Direction.RECEIVED, state.ByteSize())
+        self._count(Direction.SENT, answer.ByteSize())
+        await stream.send_message(answer)
 
     async def FetchDocument(  # noqa: N802
         self, stream: Stream[pb.FetchDocumentRequest, pb.FetchDocumentReply]
@@ -51,12 +58,12 @@
         reply: Reply[DocumentAdopted | None] = Reply()
         self._follower.post(DocumentRequested(reply))
         current = await reply.wait()
-        await stream.send_message(
-            pb.FetchDocumentReply(
-                version=current.order.version if current else 0,
-                document=current.raw if current else b"",
-            )
+        answer = pb.FetchDocumentReply(
+            version=current.order.version if current else 0,
+            document=current.raw if current else b"",
         )
+        self._count(Direction.SENT, answer.ByteSize())
+        await stream.send_message(answer)
 
     async def Identify(  # noqa: N802
         self, stream: Stream[pb.IdentifyRequest, pb.IdentifyReply]
@@ -82,3 +89,6 @@
                 reached=True, process=reply.process, incarnation=reply.incarnation
             )
         )
+
+    def _count(self, direction: Direction, size: int) -> None:
+        self._meter.control_message(ControlChannel.PEER, direction, size)
--- a/packages/configsync/src/sardineyard/configsync/platform_reader.py
+++ b/packages/configsync/src/sardineyard/configsync/platform_reader.py
@@ -21,6 +21,7 @@
     next_read,
     when_due,
 )
+from sardineyard.core.control import ControlChannel, Direction
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.httpio.client import ResponseError, fetch
 from sardineyard.httpio.messages import HttpRequest
@@ -31,6 +32,7 @@
     from sardineyard.configsync.reading import ReadPlan
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
 
 # Time that the platform may take beyond the wait that was asked for.
 _ANSWER_TIMEOUT_S = 2.0
@@ -42,13 +44,19 @@
     """Read the platform as often as the fleet's budget allows."""
 
     def __init__(
-        self, platform: Address, follower: Mailbox[Any], clock: Clock, random: Random
+        self,
+        platform: Address,
+        follower: Mailbox[Any],
+        clock: Clock,
+        random: Random,
+        meter: ControlMeter,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._platform = platform
         self._follower = follower
         self._clock = clock
         self._random = random
+        self._meter = meter
         self._view = FleetView(1, Role.WATCHER)
         self._version = -1
         self._failures = 0
@@ -116,6 +124,9 @@
             response = await fetch(self._platform, request, timeout_s)
         except (OSError, TimeoutError, ResponseError):
             return None
+        channel = ControlChannel.PLATFORM
+        self._meter.control_message(channel, Direction.SENT, len(target))
+        self._meter.control_message(channel, Direction.RECEIVED, len(response.body))
         if response.status == 304:
             return Verdict.SAME
         if response.status != 200:
--- a/packages/configsync/src/sardineyard/configsync/sync.py
+++ b/packages/configsync/src/sardineyard/configsync/sync.py
@@ -17,6 +17,7 @@
     from sardineyard.configsync.messages import DocumentAdopted
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.core.mailbox import Mailbox
     from sardineyard.core.tasks import TaskSet
 
@@ -31,12 +32,19 @@
         seeds: tuple[Address, ...],
         clock: Clock,
         random: Random,
+        meter: ControlMeter,
     ) -> None:
-        self._follower = ConfigFollower(platform, clock, random)
-        self._exchange = PeerExchange(own, seeds, self._follower.mailbox, clock, random)
+        self._follower = ConfigFollower(platform, clock, random, meter)
+        self._exchange = PeerExchange(
+            own, seeds, self._follower.mailbox, clock, random, meter
+        )
         self.subscribe(self._exchange.mailbox)
         self.service = PeerService(
-            own.process, own.incarnation, self._follower.mailbox, self._exchange.mailbox
+            own.process,
+            own.incarnation,
+            self._follower.mailbox,
+            self._exchange.mailbox,
+            meter,
         )
 
     @property
--- a/packages/daemon/src/sardineyard/daemon/observe.py
+++ b/packages/daemon/src/sardineyard/daemon/observe.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from sardineyard.telemetry.state import DocumentInForce
+import msgspec
+
+from sardineyard.telemetry.state import ConfigView, DocumentInForce
 
 if TYPE_CHECKING:
     from sardineyard.configsync.messages import DocumentAdopted
@@ -19,6 +21,11 @@
     return DocumentInForce(version=current.order.version, digest=current.order.digest)
 
 
+def config_view(dump: dict[str, object]) -> ConfigView:
+    """Return how the process follows the document, for the state dump."""
+    return msgspec.convert(msgspec.to_builtins(dump), ConfigView)
+
+
 def measure_process(
     metrics: ProcessMetrics, state: ProcessState, current: DocumentAdopted | None
 ) -> None:
--- a/packages/daemon/tests/test_observability.py
+++ b/packages/daemon/tests/test_observability.py
@@ -56,7 +56,9 @@
         assert _value(lines, "sardineyard_document_version") == 1
         assert _value(lines, "sardineyard_upstreams{", 'state="live"') == 2
         assert _value(lines, "control_messages_total", '"sent"', '"session"') >= 2
+        assert _value(lines, "control_bytes_total", '"received"', '"platform"') > 0
         lines = await scrape(fleet, "agent-booking-1")
+        assert _value(lines, "control_bytes_total", '"sent"', '"peer"') > 0
         assert _value(lines, "sardineyard_calls_total", 'kind="none"') == 1
         assert _value(lines, "queue_seconds_count") == 1
         assert _value(lines, "control_bytes_total", '"received"', '"session"') > 0
@@ -80,6 +82,7 @@
         assert [(team.team, team.in_flight) for team in dump.teams] == [("demo", 1)]
         assert dump.requests[0].tokens > 0
         assert dump.document.version == 1
+        assert dump.config.fleet_size == 2
         dump = decode_dump(agent.encode())
         assert isinstance(dump, AgentDump)
         assert [queue.running for queue in dump.queues] == [0, 1, 0]
--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -14,7 +14,7 @@
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
-from sardineyard.daemon.observe import document_in_force, measure_process
+from sardineyard.daemon.observe import config_view, document_in_force, measure_process
 from sardineyard.entry.attempts import Attempts
 from sardineyard.entry.completions import CompletionFront
 from sardineyard.entry.directory import Directory
@@ -65,6 +65,7 @@
             settings.seed_peers,
             clock,
             Random(),
+            self._measured,
         )
         self._sync.subscribe(self._router.mailbox)
         attempts = Attempts(self._router.mailbox, clock, self._measured)
@@ -145,7 +146,7 @@
             teams=team_views(requests),
             requests=requests,
             upstreams=await self._upstreams(),
-            config=await self._sync.dump(),
+            config=config_view(await self._sync.dump()),
         )
 
     async def _upstreams(self) -> tuple[UpstreamView, ...]:
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -80,13 +80,13 @@
     tokens: int = 0
 
 
-class PeerView(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe another process of the fleet."""
+class ConfigView(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe how the process follows the document."""
 
-    process: ProcessId
-    address: str
-    incarnation: Incarnation
-    document_version: int = 0
+    role: str
+    fleet_size: int
+    known_members: int
+    neighbours: tuple[str, ...] = ()
 
 
 class ProcessDump(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,11 +99,10 @@
     uptime_s: float
     document: DocumentInForce | None
     tasks: tuple[str, ...] = ()
-    peers: tuple[PeerView, ...] = ()
     teams: tuple[TeamView, ...] = ()
     requests: tuple[RequestView, ...] = ()
     # What the process knows about the document and its peers.
-    config: dict[str, object] = {}
+    config: ConfigView | None = None
 
 
 class EntryDump(ProcessDump, frozen=True, kw_only=True, tag_field="role", tag="entry"):
