--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -21,7 +21,7 @@
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
-from sardineyard.daemon.observe import document_in_force, measure_process
+from sardineyard.daemon.observe import config_view, document_in_force, measure_process
 from sardineyard.httpio.pool import ConnectionPool
 from sardineyard.runner import ModelRunner, PlainService
 from sardineyard.telemetry.metrics import AgentMetrics
@@ -79,6 +79,7 @@
             settings.seed_peers,
             clock,
             Random(),
+            self._measured,
         )
         self._sync.subscribe(self._scheduler.mailbox)
         self._sync.subscribe(self._key_owner.mailbox)
@@ -170,7 +171,7 @@
             lease_held=self._key_owner.lease_held,
             idempotency_keys=self._key_owner.key_count,
             idempotency_floor=self._key_owner.floor,
-            config=await self._sync.dump(),
+            config=config_view(await self._sync.dump()),
         )
 
     async def _load(self) -> LoadReport:
