Smooth load reports over more periods

Cause: with reports 2 s late, the load of others (report less own requests now) is mostly noise, and power of two choices was worse than round robin. Change: one report counts a fifth and fades with 1 s instead of 2 s.

--- a/packages/routing/src/sardineyard/routing/table.py
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -16,11 +16,11 @@
     from sardineyard.core.ids import FailureDomain, ModelName, PriorityName, UpstreamId
     from sardineyard.core.requests import LoadReport
 
-# Reports arrive every 500 ms; one that is four periods old says little.
-_REPORT_LIFE_S = 2.0
+# Reports arrive every 500 ms; one that is two periods old says little.
+_REPORT_LIFE_S = 1.0
 _SMOOTHING = 0.1
 # One report shows a moment that has passed; its noise would send work to and fro.
-_REPORT_SMOOTHING = 0.5
+_REPORT_SMOOTHING = 0.2
 # Latency assumed before the first answer; only ratios between upstreams count.
 _FIRST_LATENCY_S = 0.02
 
