Give the floor a finite start, so that a dump can always be encoded

Cause: an agent without keys dumped a floor of minus infinity, which JSON writes as null; packages/daemon/tests/test_observability.py failed. Change: the floor starts at 0, before which no key was created.

--- a/packages/idempotency/src/sardineyard/idempotency/store.py
+++ b/packages/idempotency/src/sardineyard/idempotency/store.py
@@ -47,8 +47,8 @@
         # untimed key is its arrival less a whole window, so a floor that follows
         # evicted timed keys would refuse every untimed one.
         self._floors: dict[type[Key], WallTime] = {
-            TimedKey: WallTime(float("-inf")),
-            UntimedKey: WallTime(float("-inf")),
+            TimedKey: WallTime(0.0),
+            UntimedKey: WallTime(0.0),
         }
 
     @property
