Keep quarantine and parking from calling a keyed call not_run

Cause: the router refuses a fingerprint that was lost several times (quarantined, or overloaded while it is under suspicion) with not_run, also for a key whose earlier attempt ran. Change: for a key that may have been sent before, these refusals of the entry are owner_uncertain. Calls that wait for their owner are picked again when a document comes into force.

--- a/packages/entry/src/sardineyard/entry/keyed_run.py
+++ b/packages/entry/src/sardineyard/entry/keyed_run.py
@@ -85,6 +85,9 @@
         match picked:
             case Success(pick):
                 return await self._run.attempt(pick)
+            case Failure(error) if error.kind is ErrorKind.OVERLOADED:
+                # Said by this entry; an agent says it only when it is certain.
+                return Failure(RequestError(ErrorKind.OWNER_UNAVAILABLE, error.detail))
             case Failure(error):
                 return Failure(error)
         raise AssertionError("a Result is a Success or a Failure")
@@ -103,7 +106,8 @@
         # this entry or another one, unless the caller says that there was none.
         is_only = self._request.first_attempt and uncertain is None
         kinds = _KINDS_OF_ONLY_ATTEMPT if is_only else _KINDS_OF_LATER_ATTEMPT
-        return RequestError(kinds.get(error.kind, error.kind), error.detail)
+        kind = kinds.get(error.kind, error.kind)
+        return RequestError(kind, error.detail or error.kind.value)
 
 
 _KINDS_OF_ONLY_ATTEMPT = {
@@ -111,4 +115,7 @@
     ErrorKind.OWNER_UNCERTAIN: ErrorKind.OWNER_UNAVAILABLE,
     ErrorKind.NOT_OWNER: ErrorKind.OWNER_UNAVAILABLE,
 }
-_KINDS_OF_LATER_ATTEMPT = {ErrorKind.OWNER_UNAVAILABLE: ErrorKind.OWNER_UNCERTAIN}
+_KINDS_OF_LATER_ATTEMPT = {
+    ErrorKind.OWNER_UNAVAILABLE: ErrorKind.OWNER_UNCERTAIN,
+    ErrorKind.QUARANTINED: ErrorKind.OWNER_UNCERTAIN,
+}
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -101,6 +101,7 @@
         for upstream in wanted.values():
             if upstream.id not in self._known:
                 self._add(upstream)
+        self._pick_for_parked()
 
     @_handle.register(PickUpstream)
     def _pick_upstream(self, message: PickUpstream) -> None:
