--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -125,6 +125,7 @@
             if upstream.id not in self._known:
                 self._add(upstream)
         self._follow_members()
+        self._pick_for_parked()
 
     @_handle.register(PickUpstream)
     def _pick_upstream(self, message: PickUpstream) -> None:
