--- a/packages/entry/tests/test_membership.py
+++ b/packages/entry/tests/test_membership.py
@@ -15,6 +15,8 @@
 SLOW = FleetSpec(token_interval_s=0.02)
 # A silent connection must be noticed within this time.
 NOTICED_WITHIN_S = 2.5
+# The operating system resets the connections of a killed process at once.
+KILLED_NOTICED_WITHIN_S = 1.0
 # Reading the state of another process takes time too.
 POLL_TOLERANCE_S = 0.3
 
@@ -31,7 +33,7 @@
 async def until(fleet: Fleet, upstream_states, upstream: str, state: str) -> float:
     """Wait until the entry sees an upstream in a state; return the seconds."""
     started = time.monotonic()
-    async with asyncio.timeout(15.0):
+    async with asyncio.timeout(20.0):
         while (await upstream_states(fleet))[upstream]["state"] != state:  # noqa: ASYNC110
             await asyncio.sleep(0.02)
     return time.monotonic() - started
@@ -83,7 +85,7 @@
         agent.kill()
         noticed_s = await until(fleet, upstream_states, "model-1", "suspect")
         print(f"killed agent noticed after {noticed_s:.3f} s")
-        assert noticed_s < NOTICED_WITHIN_S
+        assert noticed_s < KILLED_NOTICED_WITHIN_S
         await complete(fleet, "A", 5)
         await agent.wait()
         await fleet.start("agent-model-1")
@@ -170,3 +172,27 @@
         assert len(await fleet.record("booking-1")) == 1
 
     run_fleet(FleetSpec(token_interval_s=0.02, booking_delay_s=1.0), scenario)
+
+
+def test_the_vm_list_alone_stops_new_work(run_fleet, upstream_states) -> None:
+    """Guards against new work for a leaving VM whose agent does not know it."""
+
+    async def scenario(fleet: Fleet) -> None:
+        vms = [
+            {
+                "vm": name,
+                "address": str(ports.peer),
+                "state": "leaving" if name == "agent-model-1" else "live",
+            }
+            for name, ports in fleet.ports.items()
+            if name.startswith("agent-")
+        ]
+        await fleet.control_platform({"vms": vms})
+        # The list is read every 5 to 15 s in a fleet of this size.
+        await until(fleet, upstream_states, "model-1", "leaving")
+        states = await upstream_states(fleet)
+        assert states["model-1"]["connected"]
+        assert states["model-2"]["state"] == "live"
+        await complete(fleet, "A", 3)
+
+    run_fleet(SLOW, scenario)
