--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -24,7 +24,7 @@
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
-from sardineyard.daemon.observe import document_in_force, measure_process
+from sardineyard.daemon.observe import config_view, document_in_force, measure_process
 from sardineyard.httpio.pool import ConnectionPool
 from sardineyard.runner import ModelRunner, PlainService
 from sardineyard.runner.ranks import RankClient
@@ -86,6 +86,7 @@
             settings.seed_peers,
             clock,
             Random(),
+            self._measured,
         )
         self._sync.subscribe(self._scheduler.mailbox)
         self._coordinator = GroupCoordinator(upstream, clock, Random(), self._measured)
@@ -191,7 +192,7 @@
             lease_held=self._key_owner.lease_held,
             idempotency_keys=self._key_owner.key_count,
             idempotency_floor=self._key_owner.floor,
-            config=await self._sync.dump(),
+            config=config_view(await self._sync.dump()),
         )
 
     async def _load(self) -> LoadReport:
--- a/packages/configsync/src/sardineyard/configsync/follower.py
+++ b/packages/configsync/src/sardineyard/configsync/follower.py
@@ -35,6 +35,7 @@
 
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
+    from sardineyard.core.control import ControlMeter
     from sardineyard.document.model import Document, DocumentDigest
     from sardineyard.document.violations import Violation
 
@@ -44,10 +45,13 @@
 class ConfigFollower:
     """Own the document in force and publish each greater one."""
 
-    def __init__(self, platform: Address, clock: Clock, random: Random) -> None:
+    def __init__(
+        self, platform: Address, clock: Clock, random: Random, meter: ControlMeter
+    ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
-        self._reader = PlatformReader(platform, self.mailbox, clock, random)
+        self._reader = PlatformReader(platform, self.mailbox, clock, random, meter)
         self._subscribers = [self._reader.mailbox]
+        self._view_subscribers = [self._reader.mailbox]
         self._clock = clock
         self._gate = StartGate(deadline_after(clock, START_WINDOW_S))
         self._current: DocumentAdopted | None = None
@@ -64,6 +68,10 @@
         """Send each document that comes into force to a mailbox."""
         self._subscribers.append(mailbox)
 
+    def subscribe_view(self, mailbox: Mailbox[Any]) -> None:
+        """Send each change of the view of the fleet to a mailbox."""
+        self._view_subscribers.append(mailbox)
+
     async def run(self) -> None:
         """Read the platform and handle messages for ever."""
         loop = asyncio.get_running_loop()
@@ -99,7 +107,8 @@
 
     @_handle.register(FleetViewChanged)
     def _fleet_view(self, message: FleetViewChanged) -> None:
-        self._reader.mailbox.offer(message)
+        for subscriber in self._view_subscribers:
+            subscriber.offer(message)
 
     @_handle.register(DocumentRequested)
     def _requested(self, message: DocumentRequested) -> None:
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure, Success
 
-from sardineyard.configsync.messages import DocumentAdopted
+from sardineyard.configsync.messages import DocumentAdopted, VmListRead
 from sardineyard.core.address import parse_address
 from sardineyard.core.errors import ErrorKind
 from sardineyard.core.mailbox import Mailbox
@@ -22,10 +23,20 @@
     LinkDown,
     LinkUp,
     LoadReceived,
+    PauseCheckDue,
     Pick,
     PickUpstream,
 )
 from sardineyard.entry.route_state import RouteState
+from sardineyard.membership.evidence import (
+    Heartbeat,
+    OwnPause,
+    SessionDown,
+    SessionUp,
+    VmReport,
+)
+from sardineyard.membership.pauses import PauseDetector
+from sardineyard.membership.table import MembershipTable
 from sardineyard.telemetry.state import UpstreamView
 
 if TYPE_CHECKING:
@@ -36,10 +47,16 @@
     from sardineyard.core.ids import Incarnation, UpstreamId
     from sardineyard.core.requests import LoadReport
     from sardineyard.document.model import Upstream
+    from sardineyard.membership.evidence import Evidence
     from sardineyard.routing.policies import Policy as RoutingPolicy
     from sardineyard.wire.control import Hello
 
 
+_logger = logging.getLogger(__name__)
+
+_PAUSE_CHECK_INTERVAL_S = 0.25
+
+
 @dataclass(slots=True)
 class _Known:
     """Hold the link to one agent."""
@@ -70,13 +87,17 @@
         self._known: dict[UpstreamId, _Known] = {}
         self._routes = RouteState(hello.process, policy, clock, random)
         self._parked: list[PickUpstream] = []
+        self._members = MembershipTable(clock)
+        self._pauses = PauseDetector(clock, _PAUSE_CHECK_INTERVAL_S)
 
     async def run(self) -> None:
         """Handle messages for ever."""
+        ticker = asyncio.get_running_loop().create_task(self._tick())
         try:
             while True:
                 self._handle(await self.mailbox.receive())
         finally:
+            ticker.cancel()
             for known in self._known.values():
                 known.task.cancel()
 
@@ -96,11 +117,15 @@
             ):
                 known.task.cancel()
                 del self._known[upstream_id]
+                self._members.forget(upstream_id)
             else:
                 known.upstream = replacement
+        self._members.configure(wanted)
         for upstream in wanted.values():
             if upstream.id not in self._known:
                 self._add(upstream)
+        self._follow_members()
+        self._pick_for_parked()
 
     @_handle.register(PickUpstream)
     def _pick_upstream(self, message: PickUpstream) -> None:
@@ -121,9 +146,9 @@
                 self._pick_upstream(message)
 
     def _to_pick(self, upstream: UpstreamId) -> Pick:
-        known = self._known[upstream]
-        assert known.incarnation is not None
-        return Pick(upstream, known.incarnation, known.link.mailbox)
+        incarnation = self._members.incarnation(upstream)
+        assert incarnation is not None
+        return Pick(upstream, incarnation, self._known[upstream].link.mailbox)
 
     @_handle.register(AttemptEnded)
     def _attempt_ended(self, message: AttemptEnded) -> None:
@@ -138,7 +163,7 @@
         known = self._known.get(message.upstream)
         if known is not None:
             known.incarnation = message.incarnation
-            self._routes.table.set_state(message.upstream, UpstreamState.LIVE)
+            self._learn(SessionUp(message.upstream, message.incarnation))
             self._pick_for_parked()
 
     @_handle.register(LinkDown)
@@ -147,14 +172,40 @@
         if known is not None:
             known.incarnation = None
             known.load = None
-            self._routes.table.set_state(message.upstream, UpstreamState.GONE)
+            self._learn(SessionDown(message.upstream))
 
     @_handle.register(LoadReceived)
     def _load_received(self, message: LoadReceived) -> None:
-        known = self._known.get(message.load.upstream)
+        load = message.load
+        known = self._known.get(load.upstream)
         if known is not None and known.incarnation is not None:
-            known.load = message.load
-            self._routes.table.report(message.load, self._clock.now())
+            known.load = load
+            self._routes.table.report(load, self._clock.now())
+            self._learn(Heartbeat(load.upstream, load.incarnation, load.draining))
+
+    @_handle.register(VmListRead)
+    def _vm_list_read(self, message: VmListRead) -> None:
+        ids = {
+            parse_address(known.upstream.agent_address): upstream_id
+            for upstream_id, known in self._known.items()
+        }
+        live, leaving = (
+            frozenset(ids[address] for address in addresses if address in ids)
+            for addresses in (message.live, message.leaving)
+        )
+        self._learn(VmReport(live, leaving))
+
+    @_handle.register(PauseCheckDue)
+    def _pause_check_due(self, message: PauseCheckDue) -> None:
+        paused_s = self._pauses.tick()
+        if paused_s:
+            _logger.warning(
+                "this process was paused, its view of the upstreams is checked again",
+                extra={"event": "own_pause", "paused_s": round(paused_s, 3)},
+            )
+            self._members.learn(OwnPause(paused_s))
+        # Silence turns a state without any message.
+        self._follow_members()
 
     @_handle.register(DumpRouter)
     def _dump(self, message: DumpRouter) -> None:
@@ -174,19 +225,31 @@
             link.run(), name=f"agent-link-{upstream.id}"
         )
         self._known[upstream.id] = _Known(upstream, link, task)
-        # No work goes there until the agent answers.
-        self._routes.table.set_state(upstream.id, UpstreamState.GONE)
+
+    def _learn(self, evidence: Evidence) -> None:
+        self._members.learn(evidence)
+        self._follow_members()
+
+    def _follow_members(self) -> None:
+        """Give the states that membership decides on to the routing table."""
+        reserve = self._members.usable(self._known).reserve
+        for upstream in self._known:
+            state = self._members.state(upstream)
+            if state is UpstreamState.SUSPECT and upstream not in reserve:
+                state = UpstreamState.GONE
+            self._routes.table.set_state(upstream, state)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_PAUSE_CHECK_INTERVAL_S)
+            self.mailbox.offer(PauseCheckDue())
 
     def _view(self, known: _Known) -> UpstreamView:
         load = known.load
         routed = self._routes.table.view(known.upstream.id)
-        if known.incarnation is None or routed is None:
-            state = UpstreamState.SUSPECT
-        else:
-            state = routed.state
         return UpstreamView(
             upstream=known.upstream.id,
-            state=state,
+            state=self._members.state(known.upstream.id),
             in_flight=routed.in_flight if routed else 0,
             connected=known.incarnation is not None,
             incarnation=known.incarnation,
--- a/packages/routing/src/sardineyard/routing/table.py
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -16,11 +16,11 @@
     from sardineyard.core.ids import FailureDomain, ModelName, PriorityName, UpstreamId
     from sardineyard.core.requests import LoadReport
 
-# Reports arrive every 500 ms; one that is four periods old says little.
-_REPORT_LIFE_S = 2.0
+# Reports arrive every 500 ms; one that is two periods old says little.
+_REPORT_LIFE_S = 1.0
 _SMOOTHING = 0.1
 # One report shows a moment that has passed; its noise would send work to and fro.
-_REPORT_SMOOTHING = 0.5
+_REPORT_SMOOTHING = 0.2
 # Latency assumed before the first answer; only ratios between upstreams count.
 _FIRST_LATENCY_S = 0.02
 
@@ -256,14 +256,13 @@
         return sum(known) / len(known) if known else _FIRST_LATENCY_S
 
     def _select(self, model: ModelName, now: float) -> list[UpstreamView]:
-        known = [
-            view
-            for view in self._by_model.get(model, ())
-            if view.state in (UpstreamState.LIVE, UpstreamState.SUSPECT)
-        ]
+        known = self._by_model.get(model, ())
         live = [view for view in known if view.state is UpstreamState.LIVE]
-        # When most of a set is suspect, the fault is likely on this side.
-        candidates = live if 2 * len(live) >= len(known) and live else known
+        # Membership keeps suspects only while most of a set is suspect, which is more
+        # likely a fault on this side; an upstream that answers is still better.
+        candidates = live or [
+            view for view in known if view.state is UpstreamState.SUSPECT
+        ]
         healthy = [
             view
             for view in candidates
