--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -74,6 +74,7 @@
             Random(),
         )
         self._sync.subscribe(self._router.mailbox)
+        self._sync.read_vm_list(self._router.mailbox)
         attempts = Attempts(self._router.mailbox, clock, self._measured)
         self._front = CallerFront(
             self._directory,
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -124,7 +124,8 @@
     lease_held: bool = False
     lease_remaining_s: float = 0.0
     idempotency_keys: int = 0
-    idempotency_floor: float = 0.0
+    # Seconds since 1970; none before the address lease was acquired once.
+    idempotency_floor: float | None = None
     groups: tuple[GroupView, ...] = ()
 
 
