--- a/packages/standins/src/sardineyard/standins/keyed_faults.py
+++ b/packages/standins/src/sardineyard/standins/keyed_faults.py
@@ -69,6 +69,7 @@
         if self._random.random() < 0.5:
             self._fleet.processes[old].freeze()
         self._agents[upstream] = await self._fleet.start_successor(upstream)
+        await self._fleet.control_proxy(upstream, open="cut_some")
         await asyncio.sleep(self._random.uniform(0.5, 3.0))
         # The old incarnation goes on for a while beside its successor.
         self._fleet.processes[old].thaw()
--- a/packages/standins/src/sardineyard/standins/proxy.py
+++ b/packages/standins/src/sardineyard/standins/proxy.py
@@ -34,6 +34,8 @@
     """Say what happens to the connections that are open now."""
 
     CUT = "cut"
+    # Every second one is cut, so that old and new targets are used side by side.
+    CUT_SOME = "cut_some"
     SILENCE = "silence"
     # Bytes that were held back by silence are passed on, however late.
     RELEASE = "release"
@@ -137,8 +139,9 @@
             self._mode = change.mode
         if change.delay_s is not None:
             self.delay_s = change.delay_s
-        for relay in list(self._relays):
-            if change.open is OpenChange.CUT:
+        for number, relay in enumerate(list(self._relays)):
+            cuts_some = change.open is OpenChange.CUT_SOME and number % 2 == 0
+            if change.open is OpenChange.CUT or cuts_some:
                 relay.cut()
             elif change.open is OpenChange.SILENCE:
                 relay.passing.clear()
