--- a/bench/keyed_calls.py
+++ b/bench/keyed_calls.py
@@ -13,7 +13,7 @@
 from sardineyard.standins.keyed_fleet import KeyedFleet
 from sardineyard.standins.keyed_load import KeyedLoad
 
-_SPEC = FleetSpec(entries=3, model_runners=0, booking_runners=3)
+_SPEC = FleetSpec(entries=3, model_runners=0, booking_runners=3, booking_delay_s=0.05)
 
 
 async def _run(calls: int, per_s: float, seed: int) -> bool:
--- a/packages/standins/src/sardineyard/standins/keyed_load.py
+++ b/packages/standins/src/sardineyard/standins/keyed_load.py
@@ -18,11 +18,15 @@
 if TYPE_CHECKING:
     from sardineyard.standins.keyed_fleet import KeyedFleet
 
-_ATTEMPTS = 3
+_ATTEMPTS = 4
 _ATTEMPT_TIMEOUT_S = 2.0
 _PAUSE_S = 0.3
 _UNTIMED_SHARE = 0.05
 _RACING_SHARE = 0.1
+# Some calls are sent again up to this time after their answer, when another
+# incarnation or another upstream may own the key.
+_LATE_SHARE = 0.1
+_LATEST_REPEAT_S = 5.0
 # Attempts of untimed keys end this long before their window does.
 _UNTIMED_MARGIN_S = 2.0
 _WEIGHTS = (Outcome.RAN, Outcome.UNKNOWN, Outcome.NOT_RUN)
@@ -77,7 +81,7 @@
 class KeyedLoad:
     """Send bookings from several callers while faults happen."""
 
-    def __init__(self, fleet: KeyedFleet, seed: int, callers: int = 32) -> None:
+    def __init__(self, fleet: KeyedFleet, seed: int, callers: int = 64) -> None:
         self._fleet = fleet
         self._random = Random(seed)
         self._faults = KeyedFaults(fleet, Random(seed + 1))
@@ -116,13 +120,24 @@
                     await asyncio.gather(*tries),
                     key=lambda booking: _WEIGHTS.index(booking.outcome),
                 )
+                if call.last.outcome is Outcome.RAN and timed:
+                    await self._repeat_late(call)
                 known = call.last.outcome is not Outcome.UNKNOWN
                 if known or time.monotonic() > give_up_at:
                     return
-                await asyncio.sleep(_PAUSE_S * (attempt + 1))
+                await asyncio.sleep(_PAUSE_S * 2**attempt)
         finally:
             free.release()
 
+    async def _repeat_late(self, call: _Call) -> None:
+        """Send some calls again after their answer, as a confused caller does."""
+        if self._random.random() >= _LATE_SHARE:
+            return
+        await asyncio.sleep(self._random.uniform(0.0, _LATEST_REPEAT_S))
+        repeated = await self._attempt(call.key, first=False)
+        if repeated.outcome is Outcome.NOT_RUN:
+            call.last = repeated
+
     async def _attempt(self, key: str, *, first: bool) -> Booking:
         entry = self._random.choice(self._fleet.entries)
         return await self._fleet.book(
