--- a/packages/configsync/tests/test_fleet_config.py
+++ b/packages/configsync/tests/test_fleet_config.py
@@ -40,7 +40,9 @@
 async def _wait_version(fleet: Fleet, version: int) -> None:
     async def is_in_force() -> bool:
         states = await asyncio.gather(*(fleet.state(name) for name in fleet.ports))
-        return all(state["config"]["version"] == version for state in states)
+        return all(
+            (state["document"] or {}).get("version") == version for state in states
+        )
 
     await _wait_until(is_in_force)
 
@@ -60,7 +62,7 @@
         await _wait_version(fleet, 5)
         await fleet.control_platform({"mode": "stale"})
         await restart(fleet, "entry-1")
-        assert (await fleet.state("entry-1"))["config"]["version"] == 5
+        assert (await fleet.state("entry-1"))["document"]["version"] == 5
         adopted = log_events(fleet, "entry-1", "document_adopted")
         assert [event["version"] for event in adopted] == [5]
 
@@ -120,7 +122,7 @@
 
     async def has_one_digest(fleet: Fleet) -> bool:
         states = [await fleet.state(name) for name in fleet.ports]
-        return len({state["config"]["digest"] for state in states}) == 1
+        return len({state["document"]["digest"] for state in states}) == 1
 
     run_fleet(SMALL, scenario)
 
@@ -132,7 +134,7 @@
         await fleet.publish({"version": 2, "priorities": []})
         await asyncio.sleep(2.0)
         states = [await fleet.state(name) for name in fleet.ports]
-        assert {state["config"]["version"] for state in states} == {1}
+        assert {state["document"]["version"] for state in states} == {1}
         rejected = [
             event
             for name in fleet.ports
--- a/packages/configsync/tests/test_follower.py
+++ b/packages/configsync/tests/test_follower.py
@@ -15,6 +15,7 @@
 )
 from sardineyard.core.address import Address
 from sardineyard.core.clock import SystemClock
+from sardineyard.core.control import NoMeter
 from sardineyard.core.mailbox import Mailbox, Reply
 
 if TYPE_CHECKING:
@@ -43,7 +44,7 @@
     steps: list[bytes | Source], wait_s: float = 0.0
 ) -> list[DocumentAdopted]:
     """Offer documents and settle sources in turn; return what came into force."""
-    follower = ConfigFollower(NO_PLATFORM, SystemClock(), Random(1))
+    follower = ConfigFollower(NO_PLATFORM, SystemClock(), Random(1), NoMeter())
     adopted: Mailbox[Any] = Mailbox()
     follower.subscribe(adopted)
     task = asyncio.create_task(follower.run())
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -122,7 +122,7 @@
         ]
         await fleet.publish({**fleet.document, "version": 2, "upstreams": changed})
         async with asyncio.timeout(10.0):
-            while (await fleet.state("entry-1"))["config"]["version"] != 2:  # noqa: ASYNC110
+            while (await fleet.state("entry-1"))["document"]["version"] != 2:  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
         await fleet.wait_linked("entry-1", len(changed))
         return list(proxies.values())
