Exchange crash counts between entries

Cause: each entry counted crashes for itself, so a request that its caller sent to three entries in turn could crash runners at each of them; Peer.Exchange had the field, but nothing filled it. Ruled out: sending only counts of two or more (the entry that sees the first crash may be gone before the second). Change: the router hands its counts to the peer exchange, which keeps the greatest count of each request until it expires, passes at most 32 a message and hands greater ones to the router.

--- a/packages/configsync/src/sardineyard/configsync/exchange.py
+++ b/packages/configsync/src/sardineyard/configsync/exchange.py
@@ -9,6 +9,11 @@
 
 from sardineyard.configsync.adoption import Source, is_race
 from sardineyard.configsync.channels import CALL_FAILURES, PeerChannels
+from sardineyard.configsync.crashes import (
+    CrashCounts,
+    decode_counts,
+    encode_counts,
+)
 from sardineyard.configsync.members import MemberTable
 from sardineyard.configsync.messages import (
     DocumentAdopted,
@@ -28,6 +33,7 @@
     order_of,
 )
 from sardineyard.core.address import parse_address
+from sardineyard.core.crashes import CrashCountsLearned
 from sardineyard.core.ids import FailureDomain
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.wire import peer_pb2 as pb
@@ -79,6 +85,12 @@
         self._race: DocumentOrder | None = None
         self._fetching: set[DocumentOrder] = set()
         self._calls: set[asyncio.Task[None]] = set()
+        self._crashes = CrashCounts(clock)
+        self._crash_receivers: list[Mailbox[Any]] = []
+
+    def send_crash_counts(self, receiver: Mailbox[Any]) -> None:
+        """Send crash counts of peers to a mailbox."""
+        self._crash_receivers.append(receiver)
 
     async def run(self) -> None:
         """Ask the seeds, then handle messages for ever."""
@@ -118,6 +130,10 @@
         for peer in self._random.sample(neighbours, count):
             self._start_call(self._talk(peer))
 
+    @_handle.register(CrashCountsLearned)
+    def _crash_counts_learned(self, message: CrashCountsLearned) -> None:
+        self._crashes.merge(message.counts)
+
     @_handle.register(PeerCalled)
     def _peer_called(self, message: PeerCalled) -> None:
         domain = message.state.sender.failure_domain
@@ -155,6 +171,10 @@
         for member in sender:
             self._table.heard(member, state.known_members, now)
         self._table.merge(decode_members(state.members, now))
+        grown = self._crashes.merge(decode_counts(state.crashes, now))
+        if grown:
+            for receiver in self._crash_receivers:
+                receiver.offer(CrashCountsLearned(grown))
         view = self._table.view()
         if view != self._view:
             self._view = view
@@ -190,6 +210,7 @@
             document_digest=self._order.digest if self._order else "",
             members=[encode_member(member, now) for member in members],
             known_members=self._table.size,
+            crashes=encode_counts(self._crashes.select(), now),
         )
 
     def _start_call(self, call: Coroutine[Any, Any, None]) -> None:
--- a/packages/configsync/src/sardineyard/configsync/sync.py
+++ b/packages/configsync/src/sardineyard/configsync/sync.py
@@ -65,6 +65,11 @@
         self._vm_list = VmListReader(self._platform, receiver, self._random)
         self._follower.subscribe_view(self._vm_list.mailbox)
 
+    def share_crashes(self, router: Mailbox[Any]) -> Mailbox[Any]:
+        """Send crash counts of peers to a mailbox; return where to send own ones."""
+        self._exchange.send_crash_counts(router)
+        return self._exchange.mailbox
+
     def start(self, tasks: TaskSet) -> None:
         """Start the tasks; the server of the peer service must listen already."""
         tasks.start("config-follower", self._follower.run())
--- a/packages/entry/src/sardineyard/entry/route_state.py
+++ b/packages/entry/src/sardineyard/entry/route_state.py
@@ -25,6 +25,7 @@
     from returns.result import Result
 
     from sardineyard.core.clock import Clock
+    from sardineyard.core.crashes import CrashCount
     from sardineyard.core.ids import ProcessId, RequestId, ServiceName, UpstreamId
     from sardineyard.document.model import Document, Upstream
     from sardineyard.entry.messages import AttemptEnded
@@ -99,8 +100,8 @@
                     self._isolated = (request.request_id, upstream)
         return picked
 
-    def ended(self, message: AttemptEnded) -> None:
-        """Learn from the end of one attempt."""
+    def ended(self, message: AttemptEnded) -> CrashCount | None:
+        """Learn from the end of one attempt; return the count of a suspect."""
         request, upstream = message.request, message.upstream
         self.table.ended(upstream, request.priority)
         if self._isolated is not None and self._isolated[0] == request.request_id:
@@ -109,11 +110,13 @@
             self.budgets.succeeded(Hop.ENTRY_TO_AGENT, Hop.RESUME)
             self.quarantine.succeeded(request.fingerprint)
             self.table.observe(upstream, message.service_s, message.tokens)
-            return
+            return None
         if message.error.kind in _UPSTREAM_FAULTS:
             self.table.failed(upstream, self._clock.now())
         if message.error.kind is ErrorKind.UPSTREAM_LOST:
             self.quarantine.crashed(upstream, [request.fingerprint])
+            return self.quarantine.count(request.fingerprint)
+        return None
 
     def may_retry(self, cause: RequestError) -> bool:
         """Take one retry out of the budget of the entry and of the hop."""
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -12,6 +12,7 @@
 
 from sardineyard.configsync.messages import DocumentAdopted, VmListRead
 from sardineyard.core.address import parse_address
+from sardineyard.core.crashes import CrashCountsLearned
 from sardineyard.core.errors import ErrorKind
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.states import UpstreamState
@@ -87,9 +88,14 @@
         self._known: dict[UpstreamId, _Known] = {}
         self._routes = RouteState(hello.process, policy, clock, random)
         self._parked: list[PickUpstream] = []
+        self._crash_receiver: Mailbox[Any] | None = None
         self._members = MembershipTable(clock)
         self._pauses = PauseDetector(clock, _PAUSE_CHECK_INTERVAL_S)
 
+    def share_crashes(self, receiver: Mailbox[Any]) -> None:
+        """Send the crash counts of this entry to a mailbox from now on."""
+        self._crash_receiver = receiver
+
     async def run(self) -> None:
         """Handle messages for ever."""
         ticker = asyncio.get_running_loop().create_task(self._tick())
@@ -152,7 +158,13 @@
 
     @_handle.register(AttemptEnded)
     def _attempt_ended(self, message: AttemptEnded) -> None:
-        self._routes.ended(message)
+        suspected = self._routes.ended(message)
+        if suspected is not None and self._crash_receiver is not None:
+            self._crash_receiver.offer(CrashCountsLearned((suspected,)))
+
+    @_handle.register(CrashCountsLearned)
+    def _crash_counts_learned(self, message: CrashCountsLearned) -> None:
+        self._routes.quarantine.merge(message.counts)
 
     @_handle.register(AskRetry)
     def _ask_retry(self, message: AskRetry) -> None:
--- a/packages/routing/src/sardineyard/routing/quarantine.py
+++ b/packages/routing/src/sardineyard/routing/quarantine.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.core.clock import deadline_after
+from sardineyard.core.crashes import CrashCount
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -101,27 +102,35 @@
         if record is not None:
             _put(self._cleared, record, self._capacity)
 
+    def count(self, fingerprint: Fingerprint) -> CrashCount | None:
+        """Return the count of one fingerprint for peers, if it is suspected."""
+        if not self._crashes(fingerprint):
+            return None
+        record = self._records[fingerprint]
+        return CrashCount(record.fingerprint, record.crashes, record.expires)
+
     def records(self) -> list[CrashRecord]:
         """Return the counts for peers."""
         now = self._clock.now()
         return [record for record in self._records.values() if record.expires > now]
 
-    def merge(self, records: Iterable[CrashRecord]) -> None:
+    def merge(self, counts: Iterable[CrashCount]) -> None:
         """Take over counts of peers; the greatest count wins.
 
         Counts are not added, because two entries may have seen the same crash.
         """
         now = self._clock.now()
-        for record in records:
-            cleared = self._cleared.get(record.fingerprint)
+        for count in counts:
+            cleared = self._cleared.get(count.fingerprint)
             disproved = (
                 cleared is not None
                 and cleared.expires > now
-                and record.crashes <= cleared.crashes
+                and count.crashes <= cleared.crashes
             )
-            if disproved or record.expires <= now:
+            if disproved or count.expires <= now:
                 continue
-            if record.crashes > self._crashes(record.fingerprint):
+            if count.crashes > self._crashes(count.fingerprint):
+                record = CrashRecord(count.fingerprint, count.crashes, count.expires)
                 _put(self._records, record, self._capacity)
 
     def _crashes(self, fingerprint: Fingerprint) -> int:
