--- a/packages/admission/src/sardineyard/admission/lazyheap.py
+++ b/packages/admission/src/sardineyard/admission/lazyheap.py
@@ -36,13 +36,12 @@
         entry = (value, next(self._order), key)
         self._entries[key] = entry
         heapq.heappush(self._heap, entry)
-        if len(self._heap) > 2 * len(self._entries) + _SLACK:
-            self._heap = list(self._entries.values())
-            heapq.heapify(self._heap)
+        self._drop_outdated()
 
     def discard(self, key: Key) -> None:
         """Remove a key if it is there."""
         self._entries.pop(key, None)
+        self._drop_outdated()
 
     def first(self) -> tuple[float, Key] | None:
         """Return the lowest value and its key."""
@@ -50,3 +49,8 @@
         while heap and self._entries.get(heap[0][2]) is not heap[0]:
             heapq.heappop(heap)
         return (heap[0][0], heap[0][2]) if heap else None
+
+    def _drop_outdated(self) -> None:
+        if len(self._heap) > 2 * len(self._entries) + _SLACK:
+            self._heap = list(self._entries.values())
+            heapq.heapify(self._heap)
