--- a/packages/routing/src/sardineyard/routing/table.py
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -62,6 +62,8 @@
         self._outliers = outliers or OutlierDetector()
         self._usable: dict[ModelName, list[UpstreamView]] = {}
         self._usable_until = -math.inf
+        # Stands in for an upstream that has not answered yet.
+        self._mean_latency_s = _FIRST_LATENCY_S
 
     def __len__(self) -> int:
         return len(self._views)
@@ -192,6 +194,8 @@
             view.request_s = seconds
         view.latency_s += _SMOOTHING * (per_token - view.latency_s)
         view.request_s += _SMOOTHING * (seconds - view.request_s)
+        known = [one.latency_s for one in self._views.values() if one.latency_s]
+        self._mean_latency_s = sum(known) / len(known)
 
     def own_ahead(self, view: UpstreamView, rank: int) -> int:
         """Return the own requests at an upstream that go before a rank's next."""
@@ -238,7 +242,7 @@
         self, view: UpstreamView, rank: int, now: float, mean_others: float
     ) -> float:
         """Return the expected time per slot that one more request would see."""
-        latency = view.latency_s or self._mean_latency()
+        latency = view.latency_s or self._mean_latency_s
         load = self.load(view, rank, now, mean_others)
         # An upstream that fails at once looks idle, so failures count as load; with
         # two upstreams the cap leaves no room to eject one.
@@ -251,10 +255,6 @@
             return 0.0
         return sum(view.others[rank] for view in views) / len(views)
 
-    def _mean_latency(self) -> float:
-        known = [view.latency_s for view in self._views.values() if view.latency_s]
-        return sum(known) / len(known) if known else _FIRST_LATENCY_S
-
     def _select(self, model: ModelName, now: float) -> list[UpstreamView]:
         known = [
             view
