--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -8,7 +8,11 @@
 from grpclib.server import Server
 
 from sardineyard.admission.policies import policy_named as admission_policy
+from sardineyard.agent.group_coordinator import GroupCoordinator
+from sardineyard.agent.group_messages import ReadGroup
+from sardineyard.agent.group_participant import GroupParticipant
 from sardineyard.agent.key_owner import KeyOwner
+from sardineyard.agent.lease_task import LeaseTask
 from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
 from sardineyard.agent.scheduler import Scheduler
 from sardineyard.agent.service import AgentService
@@ -20,9 +24,10 @@
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
-from sardineyard.daemon.observe import document_in_force, measure_process
+from sardineyard.daemon.observe import config_view, document_in_force, measure_process
 from sardineyard.httpio.pool import ConnectionPool
 from sardineyard.runner import ModelRunner, PlainService
+from sardineyard.runner.ranks import RankClient
 from sardineyard.telemetry.metrics import AgentMetrics
 from sardineyard.telemetry.state import AgentDump
 
@@ -31,7 +36,10 @@
     from sardineyard.core.requests import LoadReport
     from sardineyard.runner import Runner
     from sardineyard.settings.processes import AgentSettings
-    from sardineyard.telemetry.state import QueueView
+    from sardineyard.telemetry.state import GroupView, QueueView
+
+# A runner beside the agent answers in milliseconds; one that does not is lost.
+_RANKS_TIMEOUT_S = 1.0
 
 
 class AgentDaemon:
@@ -56,7 +64,16 @@
             self._measured,
             admission_policy(settings.admission),
         )
-        self._key_owner = KeyOwner(self._scheduler.mailbox)
+        self._key_owner = KeyOwner(
+            self._scheduler.mailbox, upstream, incarnation, clock
+        )
+        self._lease = LeaseTask(
+            settings.advertised_address,
+            settings.seed_peers,
+            self._key_owner.mailbox,
+            clock,
+            Random(),
+        )
         self._sync = ConfigSync(
             PeerMember(
                 self._identity.process,
@@ -69,13 +86,27 @@
             settings.seed_peers,
             clock,
             Random(),
+            self._measured,
         )
         self._sync.subscribe(self._scheduler.mailbox)
+        self._coordinator = GroupCoordinator(upstream, clock, Random())
+        self._participant = GroupParticipant(
+            upstream,
+            RankClient(self._pool, _RANKS_TIMEOUT_S),
+            self._coordinator.mailbox,
+        )
+        self._coordinator.connect(self._participant.mailbox)
+        self._sync.subscribe(self._participant.mailbox)
+        self._sync.subscribe(self._coordinator.mailbox)
+        self._sync.subscribe(self._key_owner.mailbox)
+        if self._has_keys:
+            self._sync.subscribe(self._lease.mailbox)
         self._service = AgentService(
             upstream,
             incarnation,
             self._scheduler.mailbox,
             self._key_owner.mailbox,
+            self._participant.mailbox,
             clock,
             self._measured,
         )
@@ -93,6 +124,10 @@
         """Start the tasks and listen."""
         self._tasks.start("scheduler", self._scheduler.run())
         self._tasks.start("key-owner", self._key_owner.run())
+        self._tasks.start("group-participant", self._participant.run())
+        self._tasks.start("group-coordinator", self._coordinator.run())
+        if self._has_keys:
+            self._tasks.start("address-lease", self._lease.run())
         address = self._settings.peer_address
         await self._server.start(address.host, address.port)
         self._sync.start(self._tasks)
@@ -115,6 +150,7 @@
         await self._server.wait_closed()
         await self._admin.close()
         await self._tasks.cancel_all()
+        self._coordinator.close()
         self._pool.close()
         return cut
 
@@ -127,8 +163,15 @@
             return ModelRunner(self._pool)
         return PlainService(self._pool)
 
+    @property
+    def _has_keys(self) -> bool:
+        # Only plain services have calls with keys, so only their agents need a lease.
+        return self._settings.upstream_kind is UpstreamKind.PLAIN_SERVICE
+
     def _is_ready(self) -> bool:
-        return self._state is ProcessState.SERVING and self._sync.current is not None
+        if self._state is not ProcessState.SERVING or self._sync.current is None:
+            return False
+        return not self._has_keys or self._key_owner.accepts_new_keys
 
     async def _dump(self) -> AgentDump:
         load = await self._load()
@@ -145,7 +188,11 @@
             running=load.running,
             queued=load.queued,
             queues=await self._queues(),
-            config=await self._sync.dump(),
+            groups=await self._groups(),
+            lease_held=self._key_owner.lease_held,
+            idempotency_keys=self._key_owner.key_count,
+            idempotency_floor=self._key_owner.floor,
+            config=config_view(await self._sync.dump()),
         )
 
     async def _load(self) -> LoadReport:
@@ -153,6 +200,12 @@
         self._scheduler.mailbox.post(ReadLoad(reply))
         return await reply.wait()
 
+    async def _groups(self) -> tuple[GroupView, ...]:
+        reply: Reply[GroupView | None] = Reply()
+        self._coordinator.mailbox.post(ReadGroup(reply))
+        view = await reply.wait()
+        return () if view is None else (view,)
+
     async def _queues(self) -> tuple[QueueView, ...]:
         reply: Reply[tuple[QueueView, ...]] = Reply()
         self._scheduler.mailbox.post(ReadQueues(reply))
--- a/packages/agent/src/sardineyard/agent/scheduler.py
+++ b/packages/agent/src/sardineyard/agent/scheduler.py
@@ -202,7 +202,9 @@
             self._metrics.left_queue(submit.request.priority, now - submit.arrived)
             progress = Progress(submit.sink, self._clock, now)
             task = asyncio.get_running_loop().create_task(
-                run_call(self._runner, submit.request, progress, self._clock)
+                run_call(
+                    self._runner, submit.request, progress, self._clock, submit.permit
+                )
             )
             # A callback also runs for a task that is cancelled before it starts.
             task.add_done_callback(partial(self._task_done, request_id))
--- a/packages/entry/src/sardineyard/entry/route_state.py
+++ b/packages/entry/src/sardineyard/entry/route_state.py
@@ -5,13 +5,14 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-import xxhash
 from returns.result import Failure, Success
 
 from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.ids import ModelName
 from sardineyard.core.requests import Generation, ServiceCall
 from sardineyard.core.states import UpstreamState
+from sardineyard.idempotency.keys import ScopedKey, parse_key
+from sardineyard.idempotency.ownership import Ownership
 from sardineyard.routing.policies import RouteRequest, choose
 from sardineyard.routing.quarantine import Quarantine, Treatment
 from sardineyard.routing.retries import Hop, RetryBudgets
@@ -25,7 +26,7 @@
 
     from sardineyard.core.clock import Clock
     from sardineyard.core.ids import ProcessId, RequestId, ServiceName, UpstreamId
-    from sardineyard.document.model import Document, Service, Upstream
+    from sardineyard.document.model import Document, Upstream
     from sardineyard.entry.messages import AttemptEnded
     from sardineyard.routing.policies import Policy
 
@@ -49,7 +50,7 @@
         self._policy = policy
         self._clock = clock
         self._random = random
-        self._services: dict[ServiceName, Service] = {}
+        self._ownership = Ownership()
         # The suspect request that runs alone and the upstream that it has.
         self._isolated: tuple[RequestId, UpstreamId] | None = None
 
@@ -59,7 +60,7 @@
         self.budgets.configure(limits.retry_budget_share)
         self.quarantine.configure(limits.quarantine_crashes, limits.quarantine_s)
         self.table.set_priorities([priority.name for priority in document.priorities])
-        self._services = {service.name: service for service in document.services}
+        self._ownership = Ownership.of(document.services)
         wanted = self._subset(document)
         for view in self.table.views():
             if view.upstream not in wanted:
@@ -168,19 +169,14 @@
         return Success(view.upstream)
 
     def _owner(self, request: ServiceCall) -> Result[UpstreamId, RequestError]:
-        service = self._services[request.service]
-        tail = f"\0{request.team}\0{request.service}\0{request.idempotency_key}"
-        owner = max(
-            service.upstreams,
-            key=lambda upstream: xxhash.xxh3_64_intdigest(f"{upstream}{tail}".encode()),
-        )
-        view = self.table.view(owner)
-        if view is None or view.state not in (
-            UpstreamState.LIVE,
-            UpstreamState.SUSPECT,
-        ):
+        key = parse_key(request.idempotency_key or "").unwrap()
+        scoped = ScopedKey(request.team, request.service, key)
+        owner = self._ownership.place(scoped).owner
+        view = self.table.view(owner) if owner is not None else None
+        # An owner that drains still has the answers of the keys that it knows.
+        if view is None or view.state is UpstreamState.GONE:
             return Failure(RequestError(ErrorKind.OWNER_UNAVAILABLE))
-        return Success(owner)
+        return Success(view.upstream)
 
     def _subset(self, document: Document) -> dict[UpstreamId, Upstream]:
         """Return a part of each model's upstreams and all upstreams of services.
--- a/packages/entry/src/sardineyard/entry/router_client.py
+++ b/packages/entry/src/sardineyard/entry/router_client.py
@@ -48,6 +48,10 @@
             cause, repeatable=repeatable, clock=self._clock, deadline=deadline
         ):
             return False
+        return await self.take_retry(cause)
+
+    async def take_retry(self, cause: RequestError) -> bool:
+        """Take one attempt out of the retry budget; return whether there was one."""
         reply: Reply[bool] = Reply()
         self._mailbox.post(AskRetry(cause, reply))
         allowed = await reply.wait()
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -67,6 +67,11 @@
     committed: int = 0
     map_version: int = 0
     stragglers: tuple[int, ...] = ()
+    # Ranks for which the others wait at the barrier.
+    stalled: tuple[int, ...] = ()
+    # Why the group cannot serve, or empty.
+    problem: str = ""
+    coordinating: bool = False
 
 
 class RequestView(msgspec.Struct, frozen=True, kw_only=True):
@@ -80,13 +85,13 @@
     tokens: int = 0
 
 
-class PeerView(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe another process of the fleet."""
+class ConfigView(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe how the process follows the document."""
 
-    process: ProcessId
-    address: str
-    incarnation: Incarnation
-    document_version: int = 0
+    role: str
+    fleet_size: int
+    known_members: int
+    neighbours: tuple[str, ...] = ()
 
 
 class ProcessDump(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,11 +104,10 @@
     uptime_s: float
     document: DocumentInForce | None
     tasks: tuple[str, ...] = ()
-    peers: tuple[PeerView, ...] = ()
     teams: tuple[TeamView, ...] = ()
     requests: tuple[RequestView, ...] = ()
     # What the process knows about the document and its peers.
-    config: dict[str, object] = {}
+    config: ConfigView | None = None
 
 
 class EntryDump(ProcessDump, frozen=True, kw_only=True, tag_field="role", tag="entry"):
@@ -124,7 +128,8 @@
     lease_held: bool = False
     lease_remaining_s: float = 0.0
     idempotency_keys: int = 0
-    idempotency_floor: float = 0.0
+    # Seconds since 1970; none before the address lease was acquired once.
+    idempotency_floor: float | None = None
     groups: tuple[GroupView, ...] = ()
 
 
