Exchange counts of crashes between entries

Cause: a request that had crashed three runners behind one entry crashed three more behind the next one (seen with six runners: six of six ended). Change: every process passes on the greatest count of each fingerprint, at once to three peers when it is news and with each exchange afterwards; entries merge them into the quarantine.

--- a/packages/configsync/src/sardineyard/configsync/exchange.py
+++ b/packages/configsync/src/sardineyard/configsync/exchange.py
@@ -9,8 +9,11 @@
 
 from sardineyard.configsync.adoption import Source, is_race
 from sardineyard.configsync.channels import CALL_FAILURES, PeerChannels
+from sardineyard.configsync.crashes import CrashGossip
 from sardineyard.configsync.members import MemberTable
 from sardineyard.configsync.messages import (
+    CrashesCounted,
+    CrashesHeard,
     DocumentAdopted,
     DocumentOffered,
     DumpPeers,
@@ -73,6 +76,8 @@
         self._table = MemberTable(own)
         self._neighbours = Neighbours(random)
         self._channels = PeerChannels(meter)
+        self._crashes = CrashGossip(clock)
+        self._crash_listeners: list[Mailbox[Any]] = []
         self._agents: tuple[Address, ...] = ()
         self._order: DocumentOrder | None = None
         self._view: FleetView | None = None
@@ -80,6 +85,10 @@
         self._fetching: set[DocumentOrder] = set()
         self._calls: set[asyncio.Task[None]] = set()
 
+    def subscribe_crashes(self, mailbox: Mailbox[Any]) -> None:
+        """Send counts of crashes that are news to a mailbox."""
+        self._crash_listeners.append(mailbox)
+
     async def run(self) -> None:
         """Ask the seeds, then handle messages for ever."""
         try:
@@ -113,10 +122,7 @@
         self._order = message.order
         upstreams = message.document.upstreams
         self._agents = tuple(parse_address(u.agent_address) for u in upstreams)
-        neighbours = self._neighbours.current
-        count = min(_PUSH_FANOUT, len(neighbours))
-        for peer in self._random.sample(neighbours, count):
-            self._start_call(self._talk(peer))
+        self._push()
 
     @_handle.register(PeerCalled)
     def _peer_called(self, message: PeerCalled) -> None:
@@ -137,6 +143,11 @@
         self._neighbours.failed(message.address, self._clock.now())
         self._channels.drop((message.address,))
 
+    @_handle.register(CrashesCounted)
+    def _crashes_counted(self, message: CrashesCounted) -> None:
+        if self._crashes.merge(message.counts):
+            self._push()
+
     @_handle.register(DumpPeers)
     def _dump(self, message: DumpPeers) -> None:
         view = self._table.view()
@@ -155,12 +166,25 @@
         for member in sender:
             self._table.heard(member, state.known_members, now)
         self._table.merge(decode_members(state.members, now))
+        news = self._crashes.merge(self._crashes.decode(state.crashes))
+        if news:
+            for listener in self._crash_listeners:
+                listener.offer(CrashesHeard(news))
+            # The caller of a crashing request may send it to the next entry at once.
+            self._push()
         view = self._table.view()
         if view != self._view:
             self._view = view
             self._follower.offer(FleetViewChanged(view))
         return sender
 
+    def _push(self) -> None:
+        """Talk to a few peers now instead of with the next exchange."""
+        neighbours = self._neighbours.current
+        count = min(_PUSH_FANOUT, len(neighbours))
+        for peer in self._random.sample(neighbours, count):
+            self._start_call(self._talk(peer))
+
     def _compare(self, state: pb.PeerState, address: Address) -> None:
         order = order_of(state)
         if order is None:
@@ -190,6 +214,7 @@
             document_digest=self._order.digest if self._order else "",
             members=[encode_member(member, now) for member in members],
             known_members=self._table.size,
+            crashes=self._crashes.encode(),
         )
 
     def _start_call(self, call: Coroutine[Any, Any, None]) -> None:
--- a/packages/configsync/src/sardineyard/configsync/messages.py
+++ b/packages/configsync/src/sardineyard/configsync/messages.py
@@ -9,6 +9,7 @@
     from sardineyard.configsync.adoption import Source, Verdict
     from sardineyard.configsync.reading import FleetView
     from sardineyard.core.address import Address
+    from sardineyard.core.crashes import CrashCount
     from sardineyard.core.mailbox import Reply
     from sardineyard.document.model import Document
     from sardineyard.document.order import DocumentOrder
@@ -87,6 +88,20 @@
     reply: Reply[DocumentAdopted | None]
 
 
+@dataclass(frozen=True, slots=True)
+class CrashesCounted:
+    """Hand counts of crashes of this process to its peers."""
+
+    counts: tuple[CrashCount, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CrashesHeard:
+    """Hand counts of crashes that peers sent to this process."""
+
+    counts: tuple[CrashCount, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class DumpPeers:
     """Ask the peer exchange for its state."""
--- a/packages/configsync/src/sardineyard/configsync/sync.py
+++ b/packages/configsync/src/sardineyard/configsync/sync.py
@@ -72,6 +72,11 @@
         if self._vm_list is not None:
             tasks.start("vm-list-reader", self._vm_list.run())
 
+    def subscribe_crashes(self, mailbox: Mailbox[Any]) -> Mailbox[Any]:
+        """Exchange counts of crashes and return the mailbox for own ones."""
+        self._exchange.subscribe_crashes(mailbox)
+        return self._exchange.mailbox
+
     async def dump(self) -> dict[str, object]:
         """Return what the process knows about the document and its peers."""
         reply: Reply[dict[str, object]] = Reply()
--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -75,6 +75,7 @@
             self._measured,
         )
         self._sync.subscribe(self._router.mailbox)
+        self._router.share_crashes(self._sync.subscribe_crashes(self._router.mailbox))
         self._sync.read_vm_list(self._router.mailbox)
         attempts = Attempts(self._router.mailbox, clock, self._measured)
         self._front = CallerFront(
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -10,7 +10,12 @@
 
 from returns.result import Failure, Success
 
-from sardineyard.configsync.messages import DocumentAdopted, VmListRead
+from sardineyard.configsync.messages import (
+    CrashesCounted,
+    CrashesHeard,
+    DocumentAdopted,
+    VmListRead,
+)
 from sardineyard.core.address import parse_address
 from sardineyard.core.errors import ErrorKind
 from sardineyard.core.mailbox import Mailbox
@@ -86,10 +91,15 @@
         self._meter = meter
         self._known: dict[UpstreamId, _Known] = {}
         self._routes = RouteState(hello.process, policy, clock, random)
+        self._peers: Mailbox[Any] | None = None
         self._parked: list[PickUpstream] = []
         self._members = MembershipTable(clock)
         self._pauses = PauseDetector(clock, _PAUSE_CHECK_INTERVAL_S)
 
+    def share_crashes(self, peers: Mailbox[Any]) -> None:
+        """Tell peers about crashes through a mailbox."""
+        self._peers = peers
+
     async def run(self) -> None:
         """Handle messages for ever."""
         ticker = asyncio.get_running_loop().create_task(self._tick())
@@ -153,6 +163,14 @@
     @_handle.register(AttemptEnded)
     def _attempt_ended(self, message: AttemptEnded) -> None:
         self._routes.ended(message)
+        if message.error is not None and message.error.kind is ErrorKind.UPSTREAM_LOST:
+            counts = tuple(self._routes.quarantine.records())
+            if self._peers is not None:
+                self._peers.offer(CrashesCounted(counts))
+
+    @_handle.register(CrashesHeard)
+    def _crashes_heard(self, message: CrashesHeard) -> None:
+        self._routes.quarantine.merge(message.counts)
 
     @_handle.register(AskRetry)
     def _ask_retry(self, message: AskRetry) -> None:
--- a/packages/routing/src/sardineyard/routing/quarantine.py
+++ b/packages/routing/src/sardineyard/routing/quarantine.py
@@ -8,11 +8,12 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.core.clock import deadline_after
+from sardineyard.core.crashes import CrashCount
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sardineyard.core.clock import Clock, Deadline
+    from sardineyard.core.clock import Clock
     from sardineyard.core.ids import Fingerprint, UpstreamId
 
 _CAPACITY = 10_000
@@ -29,13 +30,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CrashRecord:
-    """Count the crashes at which a fingerprint was running."""
+class CrashRecord(CrashCount):
+    """Hold a count with the last crash that this process saw itself."""
 
-    fingerprint: Fingerprint
-    crashes: int
-    expires: Deadline
-    # Where and when the last crash of this process's own observation was.
     place: UpstreamId | None = None
     seen_at: float = 0.0
 
@@ -101,12 +98,12 @@
         if record is not None:
             _put(self._cleared, record, self._capacity)
 
-    def records(self) -> list[CrashRecord]:
+    def records(self) -> list[CrashCount]:
         """Return the counts for peers."""
         now = self._clock.now()
         return [record for record in self._records.values() if record.expires > now]
 
-    def merge(self, records: Iterable[CrashRecord]) -> None:
+    def merge(self, records: Iterable[CrashCount]) -> None:
         """Take over counts of peers; the greatest count wins.
 
         Counts are not added, because two entries may have seen the same crash.
@@ -122,7 +119,8 @@
             if disproved or record.expires <= now:
                 continue
             if record.crashes > self._crashes(record.fingerprint):
-                _put(self._records, record, self._capacity)
+                merged = CrashRecord(record.fingerprint, record.crashes, record.expires)
+                _put(self._records, merged, self._capacity)
 
     def _crashes(self, fingerprint: Fingerprint) -> int:
         record = self._records.get(fingerprint)
