--- a/packages/configsync/src/sardineyard/configsync/sync.py
+++ b/packages/configsync/src/sardineyard/configsync/sync.py
@@ -65,11 +65,6 @@
         self._vm_list = VmListReader(self._platform, receiver, self._random)
         self._follower.subscribe_view(self._vm_list.mailbox)
 
-    def share_crashes(self, router: Mailbox[Any]) -> Mailbox[Any]:
-        """Send crash counts of peers to a mailbox; return where to send own ones."""
-        self._exchange.send_crash_counts(router)
-        return self._exchange.mailbox
-
     def start(self, tasks: TaskSet) -> None:
         """Start the tasks; the server of the peer service must listen already."""
         tasks.start("config-follower", self._follower.run())
@@ -77,6 +72,11 @@
         if self._vm_list is not None:
             tasks.start("vm-list-reader", self._vm_list.run())
 
+    def subscribe_crashes(self, mailbox: Mailbox[Any]) -> Mailbox[Any]:
+        """Exchange counts of crashes and return the mailbox for own ones."""
+        self._exchange.subscribe_crashes(mailbox)
+        return self._exchange.mailbox
+
     async def dump(self) -> dict[str, object]:
         """Return what the process knows about the document and its peers."""
         reply: Reply[dict[str, object]] = Reply()
--- a/packages/core/src/sardineyard/core/crashes.py
+++ b/packages/core/src/sardineyard/core/crashes.py
@@ -1,4 +1,4 @@
-"""Counts of the crashes at which a request was running."""
+"""Counts of crashes by the fingerprint of the requests that ran."""
 
 from __future__ import annotations
 
@@ -12,15 +12,8 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashCount:
-    """Say how many crashes a request is suspected of, and until when."""
+    """Count the crashes at which a fingerprint was running."""
 
     fingerprint: Fingerprint
     crashes: int
     expires: Deadline
-
-
-@dataclass(frozen=True, slots=True)
-class CrashCountsLearned:
-    """Hand on counts that are new or greater than the known ones."""
-
-    counts: tuple[CrashCount, ...]
--- a/packages/routing/src/sardineyard/routing/quarantine.py
+++ b/packages/routing/src/sardineyard/routing/quarantine.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sardineyard.core.clock import Clock, Deadline
+    from sardineyard.core.clock import Clock
     from sardineyard.core.ids import Fingerprint, UpstreamId
 
 _CAPACITY = 10_000
@@ -30,13 +30,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CrashRecord:
-    """Count the crashes at which a fingerprint was running."""
+class CrashRecord(CrashCount):
+    """Hold a count with the last crash that this process saw itself."""
 
-    fingerprint: Fingerprint
-    crashes: int
-    expires: Deadline
-    # Where and when the last crash of this process's own observation was.
     place: UpstreamId | None = None
     seen_at: float = 0.0
 
@@ -102,36 +98,29 @@
         if record is not None:
             _put(self._cleared, record, self._capacity)
 
-    def count(self, fingerprint: Fingerprint) -> CrashCount | None:
-        """Return the count of one fingerprint for peers, if it is suspected."""
-        if not self._crashes(fingerprint):
-            return None
-        record = self._records[fingerprint]
-        return CrashCount(record.fingerprint, record.crashes, record.expires)
-
-    def records(self) -> list[CrashRecord]:
+    def records(self) -> list[CrashCount]:
         """Return the counts for peers."""
         now = self._clock.now()
         return [record for record in self._records.values() if record.expires > now]
 
-    def merge(self, counts: Iterable[CrashCount]) -> None:
+    def merge(self, records: Iterable[CrashCount]) -> None:
         """Take over counts of peers; the greatest count wins.
 
         Counts are not added, because two entries may have seen the same crash.
         """
         now = self._clock.now()
-        for count in counts:
-            cleared = self._cleared.get(count.fingerprint)
+        for record in records:
+            cleared = self._cleared.get(record.fingerprint)
             disproved = (
                 cleared is not None
                 and cleared.expires > now
-                and count.crashes <= cleared.crashes
+                and record.crashes <= cleared.crashes
             )
-            if disproved or count.expires <= now:
+            if disproved or record.expires <= now:
                 continue
-            if count.crashes > self._crashes(count.fingerprint):
-                record = CrashRecord(count.fingerprint, count.crashes, count.expires)
-                _put(self._records, record, self._capacity)
+            if record.crashes > self._crashes(record.fingerprint):
+                merged = CrashRecord(record.fingerprint, record.crashes, record.expires)
+                _put(self._records, merged, self._capacity)
 
     def _crashes(self, fingerprint: Fingerprint) -> int:
         record = self._records.get(fingerprint)
