Wait at a planned stop until no keyed call is open

Cause: a call that waits for a previous owner is not in the scheduler, so the agent could stop before it ended. Change: the drain also asks the key owner.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -11,6 +11,7 @@
 from sardineyard.agent.group_coordinator import GroupCoordinator
 from sardineyard.agent.group_messages import ReadGroup
 from sardineyard.agent.group_participant import GroupParticipant
+from sardineyard.agent.key_messages import DrainKeys
 from sardineyard.agent.key_owner import KeyOwner
 from sardineyard.agent.lease_task import LeaseTask
 from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
@@ -140,6 +141,10 @@
         reply: Reply[None] = Reply()
         self._scheduler.mailbox.post(Drain(reply))
         await reply.wait()
+        # Keyed calls may still wait for a previous owner or for their last event.
+        keys_drained: Reply[None] = Reply()
+        self._key_owner.mailbox.post(DrainKeys(keys_drained))
+        await keys_drained.wait()
         # The last events of the calls may still wait in the sessions.
         await self._service.flush()
 
--- a/packages/agent/src/sardineyard/agent/key_messages.py
+++ b/packages/agent/src/sardineyard/agent/key_messages.py
@@ -60,6 +60,13 @@
     reply: Reply[SurrenderAnswer]
 
 
+@dataclass(frozen=True, slots=True)
+class DrainKeys:
+    """Ask for an answer when no keyed call is open."""
+
+    reply: Reply[None]
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseAnswered:
     """Carry the incarnation that a peer reached at this agent's address."""
--- a/packages/agent/src/sardineyard/agent/key_owner.py
+++ b/packages/agent/src/sardineyard/agent/key_owner.py
@@ -13,6 +13,7 @@
 from sardineyard.agent.key_messages import (
     AskStart,
     AskSurrender,
+    DrainKeys,
     KeyedCall,
     KeyedEvent,
     LeaseAnswered,
@@ -92,6 +93,7 @@
         self._table = KeyTable(clock, upstream, AddressLease(clock, incarnation))
         self._open: dict[Ticket, _OpenCall] = {}
         self._asking: set[asyncio.Task[None]] = set()
+        self._drained: Reply[None] | None = None
         self._lease_change: LeaseChange | None = None
         self._addresses: dict[UpstreamId, Address] | None = None
 
@@ -120,6 +122,8 @@
         try:
             while True:
                 self._handle(await self.mailbox.receive())
+                if self._drained is not None and not self._open:
+                    self._drained.send(None)
         finally:
             for task in self._asking:
                 task.cancel()
@@ -211,6 +215,10 @@
     def _ask_surrender(self, message: AskSurrender) -> None:
         message.reply.send(self._table.surrender(message.question))
 
+    @_handle.register(DrainKeys)
+    def _drain(self, message: DrainKeys) -> None:
+        self._drained = message.reply
+
     @singledispatchmethod
     def _carry_out(self, decision: object, waiting: Any) -> None:
         raise TypeError(f"unexpected decision {type(decision).__name__}")
