--- a/packages/agent/src/sardineyard/agent/messages.py
+++ b/packages/agent/src/sardineyard/agent/messages.py
@@ -14,6 +14,7 @@
         LoadReport,
         ServiceCall,
     )
+    from sardineyard.runner.kinds import Permit
     from sardineyard.telemetry.state import QueueView
 
 SessionId = NewType("SessionId", int)
@@ -35,6 +36,8 @@
     session: SessionId
     # Monotonic time at which the scheduler took the request.
     arrived: float = 0.0
+    # Asked immediately before the first byte goes to the upstream.
+    permit: Permit | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +47,11 @@
     request_id: RequestId
 
 
+@dataclass(frozen=True, slots=True)
+class ExpiryDue:
+    """Tell the scheduler that queued work can no longer meet its deadline."""
+
+
 @dataclass(frozen=True, slots=True)
 class CancelRequest:
     """Ask the scheduler to stop a request."""
--- a/packages/core/src/sardineyard/core/errors.py
+++ b/packages/core/src/sardineyard/core/errors.py
@@ -37,6 +37,8 @@
     KEY_INVALID = "key_invalid"
     KEY_CONFLICT = "key_conflict"
     KEY_UNCERTAIN = "key_uncertain"
+    KEY_FORGOTTEN = "key_forgotten"
+    KEY_NOT_ACCEPTED = "key_not_accepted"
     ANSWER_EVICTED = "answer_evicted"
     NOT_READY = "not_ready"
     DRAINING = "draining"
@@ -46,6 +48,8 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_UPSTREAM = "no_upstream"
     OWNER_UNAVAILABLE = "owner_unavailable"
+    OWNER_UNCERTAIN = "owner_uncertain"
+    NOT_OWNER = "not_owner"
     LEASE_EXPIRED = "lease_expired"
     STALE_INCARNATION = "stale_incarnation"
     QUARANTINED = "quarantined"
@@ -120,6 +124,18 @@
             _UNKNOWN,
             "an earlier process may have run this call; it is not run again",
         ),
+        ErrorKind.KEY_FORGOTTEN: _answer(
+            HTTPStatus.CONFLICT,
+            _UNKNOWN,
+            "the owner may have run this Idempotency-Key before it lost its memory",
+        ),
+        # The same for the first attempt of a key, which cannot have run before.
+        ErrorKind.KEY_NOT_ACCEPTED: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            "the owner accepts no Idempotency-Key of this age; use a new one",
+            1,
+        ),
         ErrorKind.ANSWER_EVICTED: _answer(
             HTTPStatus.GONE, Outcome.RAN, "the call ran; its answer is not kept"
         ),
@@ -153,6 +169,19 @@
             "the owner of this Idempotency-Key is not reachable",
             1,
         ),
+        # An earlier attempt with the same key may have reached the owner.
+        ErrorKind.OWNER_UNCERTAIN: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _UNKNOWN,
+            "the owner of this Idempotency-Key could not be asked",
+            1,
+        ),
+        ErrorKind.NOT_OWNER: _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _UNKNOWN,
+            "another upstream owns this Idempotency-Key",
+            1,
+        ),
         ErrorKind.LEASE_EXPIRED: _answer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             _NOT_RUN,
--- a/packages/core/src/sardineyard/core/requests.py
+++ b/packages/core/src/sardineyard/core/requests.py
@@ -54,6 +54,8 @@
     content_type: str = "application/json"
     repeatable: bool = True
     idempotency_key: str | None = None
+    # The caller says that it never sent this key before; known to the entry only.
+    first_attempt: bool = False
     # The incarnation of the owner for which the entry made this try.
     incarnation: Incarnation | None = None
 
--- a/packages/entry/src/sardineyard/entry/agent_link.py
+++ b/packages/entry/src/sardineyard/entry/agent_link.py
@@ -15,6 +15,7 @@
     CallFailed,
     GenerationEnd,
     ServiceAnswer,
+    ServiceCall,
     TokenBatch,
 )
 from sardineyard.entry.messages import (
@@ -246,10 +247,17 @@
                 self._refuse(message)
 
     def _refuse(self, message: StartRequest) -> None:
-        error = RequestError(ErrorKind.NO_UPSTREAM, "no session to the agent")
+        error = RequestError(_kind_without_session(message), "no session")
         message.events.offer(CallFailed(message.request.request_id, error))
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(PING_INTERVAL_S)
             self.mailbox.offer(PingDue())
+
+
+def _kind_without_session(message: StartRequest) -> ErrorKind:
+    request = message.request
+    if isinstance(request, ServiceCall) and request.idempotency_key is not None:
+        return ErrorKind.OWNER_UNAVAILABLE
+    return ErrorKind.NO_UPSTREAM
--- a/packages/entry/src/sardineyard/entry/services.py
+++ b/packages/entry/src/sardineyard/entry/services.py
@@ -10,6 +10,7 @@
 from sardineyard.core.ids import ServiceName
 from sardineyard.core.requests import ServiceCall
 from sardineyard.entry.completions import fingerprint_of
+from sardineyard.idempotency.keys import parse_key
 
 if TYPE_CHECKING:
     from sardineyard.entry.admission import Admitted
@@ -19,6 +20,8 @@
     from sardineyard.httpio.exchange import Exchange
     from sardineyard.httpio.messages import HttpRequest
 
+# The number of an attempt with a key; 1 says that the key was never sent before.
+ATTEMPT_HEADER = "x-attempt"
 _PREFIX = "/services/"
 
 
@@ -44,9 +47,14 @@
             case Failure(error):
                 return error
         repeatable = request.method in service.repeatable_methods
-        key = request.headers.get("idempotency-key")
-        if not repeatable and not key:
+        header = request.headers.get("idempotency-key")
+        if not repeatable and not header:
             return RequestError(ErrorKind.KEY_REQUIRED)
+        match parse_key(header) if header and not repeatable else Success(None):
+            case Success(key):
+                pass
+            case Failure(error):
+                return error
         call = ServiceCall(
             request_id=observer.request_id,
             team=admitted.team.id,
@@ -61,7 +69,8 @@
                 admitted.team.id, f"{request.method} {request.target}", request.body
             ),
             repeatable=repeatable,
-            idempotency_key=None if repeatable else key,
+            idempotency_key=key.text if key else None,
+            first_attempt=request.headers.get(ATTEMPT_HEADER) == "1",
         )
         match await self._attempts.call(call):
             case Success(answer):
--- a/packages/membership/src/sardineyard/membership/table.py
+++ b/packages/membership/src/sardineyard/membership/table.py
@@ -25,15 +25,12 @@
 
 # Heartbeats come every 0.5 s and a silent session is closed after 2 s.
 SUSPECT_AFTER_S = 2.5
-# Above this share of suspects, the fault is more likely in this process or its
-# network than in the upstreams.
-DISTRUST_SHARE = 0.5
 # An upstream that was silent for this long and is missing from the VM list is gone.
 GONE_AFTER_S = 10.0
 
 # An upstream that has been silent for longer is left out of the last known set, so
 # that a real loss of most upstreams does not delay requests for ever.
-LAST_KNOWN_FOR_S = 30.0
+LAST_KNOWN_FOR_S = 15.0
 
 _NEVER = float("-inf")
 
@@ -47,18 +44,6 @@
     vm: VmState = VmState.UNKNOWN
 
 
-@dataclass(frozen=True, slots=True)
-class UsableSet:
-    """Hold the upstreams that answer, and those to try when none of them is left.
-
-    A session is needed to send anything, so a live upstream is always the better
-    choice; the reserve keeps a partition or a pause from emptying the set.
-    """
-
-    live: tuple[UpstreamId, ...]
-    reserve: tuple[UpstreamId, ...]
-
-
 class MembershipTable:
     """Turn evidence into the state of each upstream."""
 
@@ -95,26 +80,18 @@
         record = self._records.get(upstream)
         return record.incarnation if record else None
 
-    def usable(self, upstreams: Iterable[UpstreamId]) -> UsableSet:
-        """Return the upstreams of a set that may get new work.
+    def routing_state(self, upstream: UpstreamId) -> UpstreamState:
+        """Return the state on which routing decides.
 
-        When more than half of the set is suspect, the last known set stays usable:
-        suspects that were heard a short while ago come as a reserve.
+        A suspect counts as part of the last known set for a while only; one that
+        never answered, or not for long, is treated as gone.
         """
-        now = self._clock.now()
-        live, recent = [], []
-        for upstream in upstreams:
-            state = self.state(upstream)
-            if state is UpstreamState.LIVE:
-                live.append(upstream)
-            elif (
-                state is UpstreamState.SUSPECT
-                and now - self._records[upstream].heard_at < LAST_KNOWN_FOR_S
-            ):
-                recent.append(upstream)
-        if len(recent) <= DISTRUST_SHARE * (len(live) + len(recent)):
-            recent = []
-        return UsableSet(tuple(live), tuple(recent))
+        state = self.state(upstream)
+        if state is UpstreamState.SUSPECT:
+            silence = self._clock.now() - self._records[upstream].heard_at
+            if silence >= LAST_KNOWN_FOR_S:
+                return UpstreamState.GONE
+        return state
 
     @singledispatchmethod
     def learn(self, evidence: Evidence) -> None:
