--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -124,6 +124,8 @@
         for upstream in wanted.values():
             if upstream.id not in self._known:
                 self._add(upstream)
+        self._follow_members()
+        self._pick_for_parked()
 
     @_handle.register(PickUpstream)
     def _pick_upstream(self, message: PickUpstream) -> None:
@@ -163,6 +165,7 @@
         if known is not None:
             known.incarnation = message.incarnation
             self._learn(SessionUp(message.upstream, message.incarnation))
+            self._pick_for_parked()
 
     @_handle.register(LinkDown)
     def _link_down(self, message: LinkDown) -> None:
@@ -204,13 +207,13 @@
             self._learn(OwnPause(paused_s))
         else:
             # States also change with time, when an upstream stays silent.
-            self._apply_states()
+            self._follow_members()
 
     def _learn(self, evidence: Evidence) -> None:
         self._members.learn(evidence)
-        self._apply_states()
+        self._follow_members()
 
-    def _apply_states(self) -> None:
+    def _follow_members(self) -> None:
         returned = False
         for upstream in self._known:
             state = self._members.routing_state(upstream)
@@ -244,8 +247,6 @@
             link.run(), name=f"agent-link-{upstream.id}"
         )
         self._known[upstream.id] = _Known(upstream, link, task)
-        # No work goes there until the agent answers.
-        self._routes.table.set_state(upstream.id, UpstreamState.GONE)
 
     def _view(self, known: _Known) -> UpstreamView:
         load = known.load
--- a/packages/routing/src/sardineyard/routing/table.py
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -16,11 +16,11 @@
     from sardineyard.core.ids import FailureDomain, ModelName, PriorityName, UpstreamId
     from sardineyard.core.requests import LoadReport
 
-# Reports arrive every 500 ms; one that is four periods old says little.
-_REPORT_LIFE_S = 2.0
+# Reports arrive every 500 ms; one that is two periods old says little.
+_REPORT_LIFE_S = 1.0
 _SMOOTHING = 0.1
 # One report shows a moment that has passed; its noise would send work to and fro.
-_REPORT_SMOOTHING = 0.5
+_REPORT_SMOOTHING = 0.2
 # Latency assumed before the first answer; only ratios between upstreams count.
 _FIRST_LATENCY_S = 0.02
 
@@ -256,16 +256,14 @@
         return sum(known) / len(known) if known else _FIRST_LATENCY_S
 
     def _select(self, model: ModelName, now: float) -> list[UpstreamView]:
-        known = [
-            view
-            for view in self._by_model.get(model, ())
-            if view.state in (UpstreamState.LIVE, UpstreamState.SUSPECT)
-        ]
+        known = self._by_model.get(model, ())
         live = [view for view in known if view.state is UpstreamState.LIVE]
         # A session is needed to send anything, so an upstream that answers is always
         # the better choice. Without any, the fault is likely on this side, and the
         # last known set stays in use.
-        candidates = live or known
+        candidates = live or [
+            view for view in known if view.state is UpstreamState.SUSPECT
+        ]
         healthy = [
             view
             for view in candidates
