--- a/packages/configsync/tests/test_fleet_config.py
+++ b/packages/configsync/tests/test_fleet_config.py
@@ -40,9 +40,8 @@
 async def _wait_version(fleet: Fleet, version: int) -> None:
     async def is_in_force() -> bool:
         states = await asyncio.gather(*(fleet.state(name) for name in fleet.ports))
-        return all(
-            (state["document"] or {}).get("version") == version for state in states
-        )
+        documents = [state["document"] for state in states]
+        return all(each and each["version"] == version for each in documents)
 
     await _wait_until(is_in_force)
 
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -92,9 +92,9 @@
         self._known: dict[UpstreamId, _Known] = {}
         self._routes = RouteState(hello.process, policy, clock, random)
         self._peers: Mailbox[Any] | None = None
-        self._parked: list[PickUpstream] = []
         self._members = MembershipTable(clock)
         self._pauses = PauseDetector(clock, _PAUSE_CHECK_INTERVAL_S)
+        self._parked: list[PickUpstream] = []
 
     def share_crashes(self, peers: Mailbox[Any]) -> None:
         """Tell peers about crashes through a mailbox."""
@@ -156,6 +156,7 @@
                 self._pick_upstream(message)
 
     def _to_pick(self, upstream: UpstreamId) -> Pick:
+        # The last known set may hold upstreams whose session is lost for now.
         incarnation = self._members.incarnation(upstream)
         assert incarnation is not None
         return Pick(upstream, incarnation, self._known[upstream].link.mailbox)
@@ -221,10 +222,31 @@
                 "this process was paused, its view of the upstreams is checked again",
                 extra={"event": "own_pause", "paused_s": round(paused_s, 3)},
             )
-            self._members.learn(OwnPause(paused_s))
-        # Silence turns a state without any message.
+            self._learn(OwnPause(paused_s))
+        else:
+            # States also change with time, when an upstream stays silent.
+            self._follow_members()
+
+    def _learn(self, evidence: Evidence) -> None:
+        self._members.learn(evidence)
         self._follow_members()
 
+    def _follow_members(self) -> None:
+        returned = False
+        for upstream in self._known:
+            state = self._members.routing_state(upstream)
+            view = self._routes.table.view(upstream)
+            if view is not None and view.state is not state:
+                returned |= state is UpstreamState.LIVE
+                self._routes.table.set_state(upstream, state)
+        if returned:
+            self._pick_for_parked()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_PAUSE_CHECK_INTERVAL_S)
+            self.mailbox.offer(PauseCheckDue())
+
     @_handle.register(DumpRouter)
     def _dump(self, message: DumpRouter) -> None:
         message.reply.send(tuple(self._view(known) for known in self._known.values()))
@@ -244,24 +266,6 @@
         )
         self._known[upstream.id] = _Known(upstream, link, task)
 
-    def _learn(self, evidence: Evidence) -> None:
-        self._members.learn(evidence)
-        self._follow_members()
-
-    def _follow_members(self) -> None:
-        """Give the states that membership decides on to the routing table."""
-        reserve = self._members.usable(self._known).reserve
-        for upstream in self._known:
-            state = self._members.state(upstream)
-            if state is UpstreamState.SUSPECT and upstream not in reserve:
-                state = UpstreamState.GONE
-            self._routes.table.set_state(upstream, state)
-
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(_PAUSE_CHECK_INTERVAL_S)
-            self.mailbox.offer(PauseCheckDue())
-
     def _view(self, known: _Known) -> UpstreamView:
         load = known.load
         routed = self._routes.table.view(known.upstream.id)
--- a/packages/routing/src/sardineyard/routing/table.py
+++ b/packages/routing/src/sardineyard/routing/table.py
@@ -258,8 +258,9 @@
     def _select(self, model: ModelName, now: float) -> list[UpstreamView]:
         known = self._by_model.get(model, ())
         live = [view for view in known if view.state is UpstreamState.LIVE]
-        # Membership keeps suspects only while most of a set is suspect, which is more
-        # likely a fault on this side; an upstream that answers is still better.
+        # A session is needed to send anything, so an upstream that answers is always
+        # the better choice. Without any, the fault is likely on this side, and the
+        # last known set stays in use.
         candidates = live or [
             view for view in known if view.state is UpstreamState.SUSPECT
         ]
