Treat an upstream without an incarnation as gone for routing

Cause: an upstream that the VM list calls leaving before its agent ever answered was offered as the owner of a key, and the router's assertion on its incarnation would have ended the entry. Ruled out: a default incarnation, which the agent would refuse anyway. Change: routing_state answers gone while no incarnation is known. Figures: the new test fails without the change (leaving instead of gone) and passes with it.

--- a/packages/membership/src/sardineyard/membership/table.py
+++ b/packages/membership/src/sardineyard/membership/table.py
@@ -86,6 +86,9 @@
         A suspect counts as part of the last known set for a while only; one that
         never answered, or not for long, is treated as gone.
         """
+        if self.incarnation(upstream) is None:
+            # Without an incarnation no request can name its addressee.
+            return UpstreamState.GONE
         state = self.state(upstream)
         if state is UpstreamState.SUSPECT:
             silence = self._clock.now() - self._records[upstream].heard_at
--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -16,13 +16,12 @@
     VmReport,
 )
 from sardineyard.membership.pauses import PauseDetector
-from sardineyard.membership.table import GONE_AFTER_S, LAST_KNOWN_FOR_S
+from sardineyard.membership.table import GONE_AFTER_S, LAST_KNOWN_FOR_S, MembershipTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sardineyard.core.clock import ManualClock
-    from sardineyard.membership.table import MembershipTable
 
 ONE, TWO = Incarnation(1), Incarnation(2)
 NOBODY: frozenset[UpstreamId] = frozenset()
@@ -134,3 +133,13 @@
                     UpstreamState.LEAVING,
                     UpstreamState.GONE,
                 )
+
+
+def test_a_leaving_upstream_that_was_never_heard_gets_no_request(
+    clock, upstreams
+) -> None:
+    """Guards against a request that names no incarnation, which ended the entry."""
+    table = MembershipTable(clock)
+    table.configure(upstreams)
+    table.learn(VmReport(live=frozenset(), leaving=frozenset(upstreams)))
+    assert table.routing_state(upstreams[0]) is UpstreamState.GONE
