Sign the calls between processes and refuse those without a role

Cause: an agent took sessions and orders from every process that reached it; the asker of a group order was only a field of the message. Change: a required setting [fleet] key, a Dialer that signs each call with role, process, time and method, and the check before every gRPC handler. The key never appears in errors, logs or dumps. Two tests of group orders failed because their rival did not sign, and sign now.

--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -21,7 +21,7 @@
 from sardineyard.configsync.sync import ConfigSync
 from sardineyard.core.ids import UpstreamId
 from sardineyard.core.mailbox import Reply
-from sardineyard.core.states import ProcessState, UpstreamKind
+from sardineyard.core.states import ProcessRole, ProcessState, UpstreamKind
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
@@ -31,6 +31,9 @@
 from sardineyard.runner.ranks import RankClient
 from sardineyard.telemetry.metrics import AgentMetrics
 from sardineyard.telemetry.state import AgentDump
+from sardineyard.wire.authentication import check_calls
+from sardineyard.wire.credentials import Caller, Credentials
+from sardineyard.wire.dialer import Dialer
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
@@ -57,6 +60,8 @@
         self._pool = ConnectionPool(settings.upstream_address)
         upstream = UpstreamId(settings.upstream)
         incarnation = self._identity.incarnation
+        caller = Caller(self._identity.process, ProcessRole.AGENT)
+        dialer = Dialer(Credentials(caller, settings.fleet_key), clock)
         self._scheduler = Scheduler(
             upstream,
             incarnation,
@@ -66,7 +71,7 @@
             admission_policy(settings.admission),
         )
         self._key_owner = KeyOwner(
-            self._scheduler.mailbox, upstream, incarnation, clock
+            self._scheduler.mailbox, upstream, incarnation, clock, dialer
         )
         self._lease = LeaseTask(
             settings.advertised_address,
@@ -74,6 +79,7 @@
             self._key_owner.mailbox,
             clock,
             Random(),
+            dialer,
         )
         self._sync = ConfigSync(
             PeerMember(
@@ -87,10 +93,13 @@
             settings.seed_peers,
             clock,
             Random(),
+            dialer,
             self._measured,
         )
         self._sync.subscribe(self._scheduler.mailbox)
-        self._coordinator = GroupCoordinator(upstream, clock, Random(), self._measured)
+        self._coordinator = GroupCoordinator(
+            upstream, clock, Random(), dialer, self._measured
+        )
         self._participant = GroupParticipant(
             upstream,
             RankClient(self._pool, _RANKS_TIMEOUT_S),
@@ -117,6 +126,7 @@
                 self._sync.service,
             ]
         )
+        check_calls(self._server, settings.fleet_key, clock)
         self._admin = AdminServer(
             settings.admin_address, self._is_ready, self._dump, self._metrics
         )
--- a/packages/agent/src/sardineyard/agent/group_coordinator.py
+++ b/packages/agent/src/sardineyard/agent/group_coordinator.py
@@ -29,6 +29,7 @@
     from sardineyard.experts.coordinator import Orders
     from sardineyard.experts.maps import Placement
     from sardineyard.experts.report import RankReport
+    from sardineyard.wire.dialer import Dialer
 
 _logger = logging.getLogger(__name__)
 
@@ -53,13 +54,14 @@
         upstream: UpstreamId,
         clock: Clock,
         rng: Random,
+        dialer: Dialer,
         meter: ControlMeter,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
         self._upstream = upstream
         self._clock = clock
         self._rng = rng
-        self._links = GroupLinks(upstream, meter)
+        self._links = GroupLinks(upstream, dialer, meter)
         self._group: Group | None = None
         self._due = NO_DEADLINE
         self._leads_at = NO_DEADLINE
--- a/packages/agent/src/sardineyard/agent/group_links.py
+++ b/packages/agent/src/sardineyard/agent/group_links.py
@@ -6,7 +6,6 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from sardineyard.agent.group_messages import GroupAnswer, OrderArrived
@@ -24,12 +23,15 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from grpclib.client import Channel
+
     from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import UpstreamId
     from sardineyard.document.model import Group
     from sardineyard.experts.coordinator import Orders
     from sardineyard.experts.maps import ExpertMap
     from sardineyard.experts.orders import Order
+    from sardineyard.wire.dialer import Dialer
 
 _logger = logging.getLogger(__name__)
 
@@ -40,7 +42,10 @@
 class GroupLinks:
     """Send orders to this agent's own participant and to the other agents."""
 
-    def __init__(self, upstream: UpstreamId, meter: ControlMeter) -> None:
+    def __init__(
+        self, upstream: UpstreamId, dialer: Dialer, meter: ControlMeter
+    ) -> None:
+        self._dialer = dialer
         self.own: Mailbox[Any] = Mailbox()
         # The map in use as last read; replies leave it out while it is the same.
         self.known_map: ExpertMap | None = None
@@ -57,8 +62,7 @@
         for upstream in group.upstreams:
             address = addresses.get(upstream)
             if address is not None and upstream not in self._channels:
-                target = parse_address(address)
-                channel = Channel(target.host, target.port)
+                channel = self._dialer.open(parse_address(address))
                 self._channels[upstream] = (address, channel)
 
     def close(self) -> None:
--- a/packages/agent/src/sardineyard/agent/key_owner.py
+++ b/packages/agent/src/sardineyard/agent/key_owner.py
@@ -50,6 +50,7 @@
     from sardineyard.core.requests import CallEvent, ServiceCall
     from sardineyard.idempotency.lease import LeaseChange
     from sardineyard.idempotency.messages import Ticket
+    from sardineyard.wire.dialer import Dialer
 
 _logger = logging.getLogger(__name__)
 
@@ -86,7 +87,9 @@
         upstream: UpstreamId,
         incarnation: Incarnation,
         clock: Clock,
+        dialer: Dialer,
     ) -> None:
+        self._dialer = dialer
         self.mailbox: Mailbox[Any] = Mailbox()
         self._scheduler = scheduler
         self._upstream = upstream
@@ -238,7 +241,9 @@
     def _ask_previous(self, decision: AskPrevious, waiting: Any) -> None:
         addresses = [(self._addresses or {}).get(owner) for owner in decision.owners]
         task = asyncio.get_running_loop().create_task(
-            ask_previous_owners(decision, addresses, self._upstream, self.mailbox)
+            ask_previous_owners(
+                decision, addresses, self._upstream, self.mailbox, self._dialer
+            )
         )
         self._asking.add(task)
         task.add_done_callback(self._asking.discard)
--- a/packages/agent/src/sardineyard/agent/lease_task.py
+++ b/packages/agent/src/sardineyard/agent/lease_task.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from sardineyard.agent.key_messages import LeaseAnswered
@@ -24,6 +23,7 @@
     from sardineyard.configsync.messages import DocumentAdopted
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock, Deadline
+    from sardineyard.wire.dialer import Dialer
 
 # Two renewals may fail before the lease ends.
 _INTERVAL_S = ADDRESS_LEASE_S / 3
@@ -41,7 +41,9 @@
         key_owner: Mailbox[Any],
         clock: Clock,
         random: Random,
+        dialer: Dialer,
     ) -> None:
+        self._dialer = dialer
         self.mailbox: Mailbox[DocumentAdopted] = Mailbox()
         self._advertised = advertised
         self._seeds = frozenset(seeds)
@@ -77,7 +79,7 @@
             return True
         peer = self._random.choice(peers)
         renewal = begin_renewal(self._clock)
-        reply = await _dial_back(peer, self._advertised)
+        reply = await _dial_back(peer, self._advertised, self._dialer)
         if reply is None or not reply.reached:
             self._left_out[peer] = deadline_after(self._clock, _LEFT_OUT_S)
             return not trusted
@@ -86,8 +88,10 @@
         return True
 
 
-async def _dial_back(peer: Address, advertised: Address) -> pb.DialBackReply | None:
-    channel = Channel(peer.host, peer.port)
+async def _dial_back(
+    peer: Address, advertised: Address, dialer: Dialer
+) -> pb.DialBackReply | None:
+    channel = dialer.open(peer)
     try:
         async with asyncio.timeout(_INTERVAL_S):
             request = pb.DialBackRequest(address=str(advertised))
--- a/packages/agent/src/sardineyard/agent/surrender.py
+++ b/packages/agent/src/sardineyard/agent/surrender.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from returns.result import Success
 
@@ -29,6 +28,7 @@
     from sardineyard.core.ids import UpstreamId
     from sardineyard.core.mailbox import Mailbox
     from sardineyard.idempotency.messages import AskPrevious
+    from sardineyard.wire.dialer import Dialer
 
 _TIMEOUT_S = 0.5
 # A previous owner that runs the call is asked again for its answer.
@@ -49,22 +49,25 @@
     addresses: Sequence[Address | None],
     asker: UpstreamId,
     key_owner: Mailbox[Any],
+    dialer: Dialer,
 ) -> None:
     """Ask all previous owners of a key and post what they said."""
     request = encode_question(decision.question, asker)
-    replies = await asyncio.gather(*(_ask(address, request) for address in addresses))
+    replies = await asyncio.gather(
+        *(_ask(address, request, dialer) for address in addresses)
+    )
     answers = tuple(reply for reply in replies if reply is not None)
     key_owner.post(PreviousAnswered(decision.ticket, answers))
 
 
 async def _ask(
-    address: Address | None, request: pb.SurrenderRequest
+    address: Address | None, request: pb.SurrenderRequest, dialer: Dialer
 ) -> SurrenderAnswer | None:
     """Ask one owner until its call has ended; return None without an answer."""
     if address is None:
         return None
     for _ in range(_MAX_QUESTIONS):
-        answer = await _ask_once(address, request)
+        answer = await _ask_once(address, request, dialer)
         if answer is None or answer.state is not SurrenderState.RUNNING:
             return answer
         await asyncio.sleep(_ASK_AGAIN_S)
@@ -72,9 +75,9 @@
 
 
 async def _ask_once(
-    address: Address, request: pb.SurrenderRequest
+    address: Address, request: pb.SurrenderRequest, dialer: Dialer
 ) -> SurrenderAnswer | None:
-    channel = Channel(address.host, address.port)
+    channel = dialer.open(address)
     try:
         async with asyncio.timeout(_TIMEOUT_S):
             return decode_answer(await AgentStub(channel).Surrender(request))
--- a/packages/agent/tests/conftest.py
+++ b/packages/agent/tests/conftest.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Any
 
 import pytest
-from grpclib.client import Channel
 
 from sardineyard.agent.group_wire import answer_from_wire, order_to_wire
 from sardineyard.agent.messages import SessionId, Submit
@@ -20,18 +19,22 @@
     Incarnation,
     ModelName,
     PriorityName,
+    ProcessId,
     RequestId,
     StepNumber,
     TeamId,
     UpstreamId,
 )
 from sardineyard.core.requests import Generation, GenerationEnd
-from sardineyard.core.states import FinishReason
+from sardineyard.core.states import FinishReason, ProcessRole
 from sardineyard.experts.coordinator import Coordinator, Phase
 from sardineyard.experts.orders import OrderReply, Refusal
 from sardineyard.runner.kinds import execute
+from sardineyard.standins.fleet import FLEET_KEY
 from sardineyard.standins.group_fleet import GROUP, GroupFleet
 from sardineyard.telemetry.metrics import AgentMetrics
+from sardineyard.wire.credentials import Caller, Credentials
+from sardineyard.wire.dialer import Dialer
 from sardineyard.wire.session_grpc import AgentStub
 
 if TYPE_CHECKING:
@@ -133,8 +136,10 @@
     async def run(fleet: GroupFleet, asker: str, rounds: int) -> int:
         members = [UpstreamId(name) for name in fleet.model_upstreams]
         addresses = [fleet.ports[name].peer for name in fleet.agents]
+        caller = Caller(ProcessId("rival"), ProcessRole.AGENT)
+        dialer = Dialer(Credentials(caller, FLEET_KEY), SystemClock())
         channels = {
-            member: Channel(address.host, address.port)
+            member: dialer.open(address)
             for member, address in zip(members, addresses, strict=True)
         }
         coordinator = Coordinator(members, Random(1))
--- a/packages/configsync/src/sardineyard/configsync/channels.py
+++ b/packages/configsync/src/sardineyard/configsync/channels.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from sardineyard.core.control import ControlChannel, Direction
@@ -15,8 +14,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from grpclib.client import Channel
+
     from sardineyard.core.address import Address
     from sardineyard.core.control import ControlMeter
+    from sardineyard.wire.dialer import Dialer
 
 CALL_FAILURES = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
 
@@ -29,7 +31,8 @@
 class PeerChannels:
     """Keep channels open and close those that are no longer used."""
 
-    def __init__(self, meter: ControlMeter) -> None:
+    def __init__(self, dialer: Dialer, meter: ControlMeter) -> None:
+        self._dialer = dialer
         self._meter = meter
         self._channels: dict[Address, Channel] = {}
 
@@ -66,6 +69,6 @@
     def _channel(self, address: Address) -> Channel:
         channel = self._channels.get(address)
         if channel is None:
-            channel = Channel(address.host, address.port)
+            channel = self._dialer.open(address)
             self._channels[address] = channel
         return channel
--- a/packages/configsync/src/sardineyard/configsync/dialing.py
+++ b/packages/configsync/src/sardineyard/configsync/dialing.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from sardineyard.wire import peer_pb2 as pb
@@ -13,13 +12,14 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.address import Address
+    from sardineyard.wire.dialer import Dialer
 
 _TIMEOUT_S = 0.5
 
 
-async def identify(address: Address) -> pb.IdentifyReply | None:
+async def identify(address: Address, dialer: Dialer) -> pb.IdentifyReply | None:
     """Ask over a new connection which incarnation answers at an address."""
-    channel = Channel(address.host, address.port)
+    channel = dialer.open(address)
     try:
         async with asyncio.timeout(_TIMEOUT_S):
             return await PeerStub(channel).Identify(pb.IdentifyRequest())
--- a/packages/configsync/src/sardineyard/configsync/exchange.py
+++ b/packages/configsync/src/sardineyard/configsync/exchange.py
@@ -45,6 +45,7 @@
     from sardineyard.core.clock import Clock
     from sardineyard.core.control import ControlMeter
     from sardineyard.document.order import DocumentOrder
+    from sardineyard.wire.dialer import Dialer
 
 _logger = logging.getLogger(__name__)
 
@@ -65,6 +66,7 @@
         follower: Mailbox[Any],
         clock: Clock,
         random: Random,
+        dialer: Dialer,
         meter: ControlMeter,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
@@ -75,7 +77,7 @@
         self._random = random
         self._table = MemberTable(own)
         self._neighbours = Neighbours(random)
-        self._channels = PeerChannels(meter)
+        self._channels = PeerChannels(dialer, meter)
         self._crashes = CrashGossip(clock)
         self._crash_listeners: list[Mailbox[Any]] = []
         self._agents: tuple[Address, ...] = ()
--- a/packages/configsync/src/sardineyard/configsync/peer_service.py
+++ b/packages/configsync/src/sardineyard/configsync/peer_service.py
@@ -19,6 +19,7 @@
     from sardineyard.core.control import ControlMeter
     from sardineyard.core.ids import Incarnation, ProcessId
     from sardineyard.core.mailbox import Mailbox
+    from sardineyard.wire.dialer import Dialer
 
 
 class PeerService(PeerBase):
@@ -30,8 +31,10 @@
         incarnation: Incarnation,
         follower: Mailbox[Any],
         exchange: Mailbox[Any],
+        dialer: Dialer,
         meter: ControlMeter,
     ) -> None:
+        self._dialer = dialer
         self._process = process
         self._incarnation = incarnation
         self._follower = follower
@@ -80,7 +83,7 @@
         """Dial an address over a new connection and report who answers there."""
         request = await stream.recv_message()
         assert request is not None
-        reply = await identify(parse_address(request.address))
+        reply = await identify(parse_address(request.address), self._dialer)
         if reply is None:
             await stream.send_message(pb.DialBackReply(reached=False))
             return
--- a/packages/configsync/src/sardineyard/configsync/sync.py
+++ b/packages/configsync/src/sardineyard/configsync/sync.py
@@ -21,6 +21,7 @@
     from sardineyard.core.control import ControlMeter
     from sardineyard.core.mailbox import Mailbox
     from sardineyard.core.tasks import TaskSet
+    from sardineyard.wire.dialer import Dialer
 
 
 class ConfigSync:
@@ -33,6 +34,7 @@
         seeds: tuple[Address, ...],
         clock: Clock,
         random: Random,
+        dialer: Dialer,
         meter: ControlMeter,
     ) -> None:
         self._platform = platform
@@ -40,7 +42,7 @@
         self._vm_list: VmListReader | None = None
         self._follower = ConfigFollower(platform, clock, random, meter)
         self._exchange = PeerExchange(
-            own, seeds, self._follower.mailbox, clock, random, meter
+            own, seeds, self._follower.mailbox, clock, random, dialer, meter
         )
         self.subscribe(self._exchange.mailbox)
         self.service = PeerService(
@@ -48,6 +50,7 @@
             own.incarnation,
             self._follower.mailbox,
             self._exchange.mailbox,
+            dialer,
             meter,
         )
 
--- a/packages/entry/src/sardineyard/entry/agent_link.py
+++ b/packages/entry/src/sardineyard/entry/agent_link.py
@@ -44,6 +44,7 @@
     from sardineyard.core.ids import RequestId, UpstreamId
     from sardineyard.core.requests import CallEvent
     from sardineyard.wire.control import Hello
+    from sardineyard.wire.dialer import Dialer
 
 _logger = logging.getLogger(__name__)
 
@@ -67,6 +68,7 @@
         router: Mailbox[Any],
         clock: Clock,
         random: Random,
+        dialer: Dialer,
         meter: ControlMeter,
     ) -> None:
         self.mailbox: Mailbox[Any] = Mailbox()
@@ -76,6 +78,7 @@
         self._router = router
         self._clock = clock
         self._random = random
+        self._dialer = dialer
         self._meter = meter
         self._calls: dict[RequestId, Mailbox[CallEvent]] = {}
         self._session: Session | None = None
@@ -200,7 +203,12 @@
     def _dial(self) -> None:
         self._number = SessionNumber(self._number + 1)
         self._session = Session(
-            self._number, self._address, self.mailbox, self._clock, self._meter
+            self._number,
+            self._address,
+            self.mailbox,
+            self._clock,
+            self._dialer,
+            self._meter,
         )
         self._silent_at = deadline_after(self._clock, SILENCE_LIMIT_S)
         self._session_task = asyncio.get_running_loop().create_task(
--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -10,7 +10,7 @@
 from sardineyard.configsync.members import PeerMember
 from sardineyard.configsync.sync import ConfigSync
 from sardineyard.core.mailbox import Reply
-from sardineyard.core.states import ProcessState, UpstreamState
+from sardineyard.core.states import ProcessRole, ProcessState, UpstreamState
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.daemon.identity import identify
@@ -28,7 +28,10 @@
 from sardineyard.routing.policies import policy_named
 from sardineyard.telemetry.metrics import EntryMetrics
 from sardineyard.telemetry.state import EntryDump
+from sardineyard.wire.authentication import check_calls
 from sardineyard.wire.control import Hello
+from sardineyard.wire.credentials import Caller, Credentials
+from sardineyard.wire.dialer import Dialer
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
@@ -53,10 +56,13 @@
         self._clock = clock
         self._started = clock.now()
         self._measured = EntryMetrics(settings.process)
+        caller = Caller(self._identity.process, ProcessRole.ENTRY)
+        dialer = Dialer(Credentials(caller, settings.fleet_key), clock)
         self._router = Router(
             hello,
             clock,
             Random(),
+            dialer,
             self._measured,
             policy_named(settings.routing, self._identity.failure_domain),
         )
@@ -72,6 +78,7 @@
             settings.seed_peers,
             clock,
             Random(),
+            dialer,
             self._measured,
         )
         self._sync.subscribe(self._router.mailbox)
@@ -94,6 +101,7 @@
             HttpLimits(),
         )
         self._peers = Server([self._sync.service])
+        check_calls(self._peers, settings.fleet_key, clock)
         self._admin = AdminServer(
             settings.admin_address, self._is_ready, self._dump, self._metrics
         )
--- a/packages/entry/src/sardineyard/entry/router.py
+++ b/packages/entry/src/sardineyard/entry/router.py
@@ -55,6 +55,7 @@
     from sardineyard.membership.evidence import Evidence
     from sardineyard.routing.policies import Policy as RoutingPolicy
     from sardineyard.wire.control import Hello
+    from sardineyard.wire.dialer import Dialer
 
 
 _logger = logging.getLogger(__name__)
@@ -81,6 +82,7 @@
         hello: Hello,
         clock: Clock,
         random: Random,
+        dialer: Dialer,
         meter: ControlMeter,
         policy: RoutingPolicy,
     ) -> None:
@@ -88,6 +90,7 @@
         self._hello = hello
         self._clock = clock
         self._random = random
+        self._dialer = dialer
         self._meter = meter
         self._known: dict[UpstreamId, _Known] = {}
         self._routes = RouteState(hello.process, policy, clock, random)
@@ -259,6 +262,7 @@
             self.mailbox,
             self._clock,
             self._random,
+            self._dialer,
             self._meter,
         )
         task = asyncio.get_running_loop().create_task(
--- a/packages/entry/src/sardineyard/entry/session.py
+++ b/packages/entry/src/sardineyard/entry/session.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from sardineyard.core.control import ControlChannel, Direction
@@ -30,6 +29,7 @@
     )
     from sardineyard.wire import session_pb2 as pb
     from sardineyard.wire.control import Hello
+    from sardineyard.wire.dialer import Dialer
     from sardineyard.wire.entry_frames import EntryMessage
 
 _OPEN_TIMEOUT_S = 1.0
@@ -47,8 +47,10 @@
         address: Address,
         link: Mailbox[Any],
         clock: Clock,
+        dialer: Dialer,
         meter: ControlMeter,
     ) -> None:
+        self._dialer = dialer
         self.outbox: Mailbox[EntryMessage] = Mailbox()
         self._number = number
         self._address = address
@@ -58,7 +60,7 @@
 
     async def run(self, hello: Hello) -> None:
         """Open the session, serve it and report its end to the link."""
-        channel = Channel(self._address.host, self._address.port)
+        channel = self._dialer.open(self._address)
         reason = "closed by the agent"
         try:
             async with AgentStub(channel).Session.open() as stream:
--- a/packages/settings/src/sardineyard/settings/ini.py
+++ b/packages/settings/src/sardineyard/settings/ini.py
@@ -49,6 +49,8 @@
     help: str = ""
     # The value in the example file, where a required option needs one.
     example: str = ""
+    # The value never appears in an error, which ends up in logs.
+    is_secret: bool = False
 
 
 def read(
@@ -66,7 +68,8 @@
         try:
             values[field] = option.parse(raw.strip())
         except ValueError as error:
-            errors.append(option_error(option, f"{raw!r} is not valid ({error})"))
+            shown = "the value" if option.is_secret else repr(raw)
+            errors.append(option_error(option, f"{shown} is not valid ({error})"))
     return Failure(tuple(errors)) if errors else Success(values)
 
 
--- a/packages/settings/src/sardineyard/settings/parsers.py
+++ b/packages/settings/src/sardineyard/settings/parsers.py
@@ -12,6 +12,8 @@
 
     from sardineyard.core.address import Address
 
+MIN_KEY_CHARACTERS = 16
+
 
 def reachable_address(text: str) -> Address:
     """Parse an address to which other processes can connect."""
@@ -34,6 +36,13 @@
     return value
 
 
+def shared_key(text: str) -> str:
+    """Parse a key of at least 16 printable characters."""
+    if len(text) < MIN_KEY_CHARACTERS or not text.isprintable():
+        raise ValueError("too short or not printable")
+    return text
+
+
 def identifier(text: str) -> str:
     """Parse a name of letters, digits, dots, dashes and underscores."""
     if not text or not all(
--- a/packages/settings/src/sardineyard/settings/processes.py
+++ b/packages/settings/src/sardineyard/settings/processes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure, Success
@@ -44,6 +44,8 @@
     seed_peers: tuple[Address, ...]
     drain_timeout_s: float
     log_level: str
+    # Left out of the representation, so that no log or error shows it.
+    fleet_key: str = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +135,18 @@
         ),
         example="127.0.0.1:9202, 127.0.0.1:9203",
     ),
+    "fleet_key": Option(
+        "fleet",
+        "key",
+        parsers.shared_key,
+        f"at least {parsers.MIN_KEY_CHARACTERS} printable characters",
+        help=(
+            "Key that all processes of the fleet share; calls between them are "
+            "signed with it. Replace the example."
+        ),
+        example="replace-this-key-of-the-fleet",
+        is_secret=True,
+    ),
     "log_level": Option(
         "logging",
         "level",
@@ -235,13 +249,13 @@
 ) -> Result[dict[str, Any], tuple[SettingError, ...]]:
     errors = []
     taken: dict[Address, str] = {}
-    for field in _LISTENING:
-        address = values.get(field)
+    for name in _LISTENING:
+        address = values.get(name)
         # The operating system chooses another port for each port 0.
         if address is None or address.port == 0:
             continue
         if address in taken:
             problem = f"{address} is {options[taken[address]].name} as well"
-            errors.append(option_error(options[field], problem))
-        taken.setdefault(address, field)
+            errors.append(option_error(options[name], problem))
+        taken.setdefault(address, name)
     return Failure(tuple(errors)) if errors else Success(values)
--- a/packages/standins/src/sardineyard/standins/fleet.py
+++ b/packages/standins/src/sardineyard/standins/fleet.py
@@ -24,6 +24,7 @@
 TEAM_KEY = "demo-team-key"
 MODEL = "demo-model"
 SERVICE = "booking"
+FLEET_KEY = "fleet-key-of-the-stand-ins"
 
 _READY_TIMEOUT_S = 20.0
 _POLL_S = 0.05
@@ -295,6 +296,7 @@
                 "advertised_address": str(self.advertised(name)),
                 "drain_timeout_s": str(self.spec.drain_timeout_s),
             },
+            "fleet": {"key": FLEET_KEY},
             "platform": {"address": str(self.platform)},
             "peers": {"seeds": self._seeds(name)},
             role: section,
--- a/packages/standins/src/sardineyard/standins/keyed_fleet.py
+++ b/packages/standins/src/sardineyard/standins/keyed_fleet.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from grpclib.client import Channel
 
 from sardineyard.core.clock import SystemClock, deadline_after
 from sardineyard.core.errors import Outcome
@@ -15,20 +14,24 @@
     Fingerprint,
     Incarnation,
     PriorityName,
+    ProcessId,
     RequestId,
     ServiceName,
     TeamId,
     UpstreamId,
 )
 from sardineyard.core.requests import CallFailed, ServiceAnswer, ServiceCall
+from sardineyard.core.states import ProcessRole
 from sardineyard.httpio.client import ResponseError, fetch
 from sardineyard.httpio.messages import HttpRequest
 from sardineyard.idempotency.keys import ScopedKey, parse_key
 from sardineyard.idempotency.ownership import owner_of
 from sardineyard.standins.demo import new_key
-from sardineyard.standins.fleet import SERVICE, Fleet, Ports, loopback
+from sardineyard.standins.fleet import FLEET_KEY, SERVICE, Fleet, Ports, loopback
 from sardineyard.standins.processes import free_port
 from sardineyard.wire.agent_frames import from_event
+from sardineyard.wire.credentials import Caller, Credentials
+from sardineyard.wire.dialer import Dialer
 from sardineyard.wire.entry_frames import to_frame
 from sardineyard.wire.session_grpc import AgentStub
 
@@ -178,7 +181,8 @@
             idempotency_key=key,
             incarnation=incarnation,
         )
-        channel = Channel(address.host, address.port)
+        caller = Caller(ProcessId("direct"), ProcessRole.ENTRY)
+        channel = Dialer(Credentials(caller, FLEET_KEY), clock).open(address)
         try:
             async with AgentStub(channel).Session.open() as stream:
                 await stream.send_message(to_frame(call, clock))
--- a/packages/wire/src/sardineyard/wire/credentials.py
+++ b/packages/wire/src/sardineyard/wire/credentials.py
@@ -19,7 +19,6 @@
 
 # Credentials older than this are refused, so that a recorded one is of no later use.
 MAX_AGE_S = 30.0
-MIN_KEY_LENGTH = 16
 
 
 @dataclass(frozen=True, slots=True)
