--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,219 @@
+"""How the load of each role grows with one size at a time.
+
+Usage: ./dev bench-slopes [--window SECONDS] [--only NAME]
+Real processes as far as one machine goes; the libraries alone beyond.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import hashlib
+import os
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from copy import deepcopy
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from fit import fit
+from harness import Load, figures, pid_of, request_bytes, run_stream
+from libraries import LIBRARY_SERIES
+
+from sardineyard.httpio.client import fetch
+from sardineyard.httpio.messages import HttpRequest
+from sardineyard.standins.fleet import Fleet, FleetSpec
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_ROLES = {"entry": "entry-1", "agent": "agent-model-1"}
+_SETTLE_S = 2.0
+_INTERVAL_S = 0.0625
+
+Point = dict[str, float]
+
+
+async def control(fleet: Fleet, name: str) -> tuple[float, float]:
+    """Return the control bytes and messages of a daemon so far."""
+    response = await fetch(fleet.ports[name].admin, HttpRequest("GET", "/metrics"), 5.0)
+    totals = {"control_bytes_total": 0.0, "control_messages_total": 0.0}
+    for line in response.body.decode().splitlines():
+        for metric in totals:
+            if line.startswith(f"sardineyard_{metric}{{"):
+                totals[metric] += float(line.split()[-1])
+    return totals["control_bytes_total"], totals["control_messages_total"]
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process with nanosecond resolution."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+
+
+async def observe(fleet: Fleet, window_s: float) -> dict[str, Point]:
+    """Measure each role over a window."""
+    before = {}
+    for role, name in _ROLES.items():
+        before[role] = (cpu_s(pid_of(fleet, name)), await control(fleet, name))
+    started = time.perf_counter()
+    await asyncio.sleep(window_s)
+    elapsed = time.perf_counter() - started
+    points = {}
+    for role, name in _ROLES.items():
+        pid = pid_of(fleet, name)
+        used, (sent, count) = before[role]
+        cpu = (cpu_s(pid) - used) / elapsed
+        now_bytes, now_count = await control(fleet, name)
+        points[role] = {
+            "cpu %": cpu * 100,
+            "resident MB": figures(pid).resident_mb,
+            "control B/s": (now_bytes - sent) / elapsed,
+            "control messages/s": (now_count - count) / elapsed,
+        }
+    return points
+
+
+@asynccontextmanager
+async def running(spec: FleetSpec) -> AsyncIterator[Fleet]:
+    """Run a fleet and let it settle."""
+    with tempfile.TemporaryDirectory(prefix="sardineyard-slopes-") as folder:
+        async with Fleet(spec, Path(folder)) as fleet:
+            await asyncio.sleep(_SETTLE_S)
+            yield fleet
+
+
+async def vary_entries(window_s: float) -> list[tuple[float, dict[str, Point]]]:
+    """Vary the number of entries beside two runners."""
+    points = []
+    for count in (1, 2, 4, 8):
+        async with running(FleetSpec(entries=count, booking_runners=0)) as fleet:
+            points.append((float(count), await observe(fleet, window_s)))
+    return points
+
+
+async def vary_runners(window_s: float) -> list[tuple[float, dict[str, Point]]]:
+    """Vary the number of runners behind one entry."""
+    points = []
+    for count in (2, 5, 10, 20):
+        async with running(FleetSpec(model_runners=count, booking_runners=0)) as fleet:
+            points.append((float(count), await observe(fleet, window_s)))
+    return points
+
+
+async def vary_streams(window_s: float) -> list[tuple[float, dict[str, Point]]]:
+    """Vary the open streams of one entry, all through one agent."""
+    points = []
+    spec = FleetSpec(
+        model_runners=1, booking_runners=0, slots=1_000, token_interval_s=_INTERVAL_S
+    )
+    for count in (0, 100, 200, 300):
+        async with running(spec) as fleet:
+            entry = fleet.caller_address()
+            tokens = int((window_s + 3.0) / _INTERVAL_S)
+            load = Load()
+            tasks = []
+            for number in range(count):
+                body = {"prompt": f"{number}", "max_tokens": tokens, "stream": True}
+                request = request_bytes(entry, body)
+                tasks.append(asyncio.create_task(run_stream(entry, request, load)))
+            await asyncio.sleep(1.5)
+            points.append((float(count), await observe(fleet, window_s)))
+            await asyncio.gather(*tasks)
+            assert load.whole == count, (load.whole, load.broken)
+    return points
+
+
+def with_teams(document: dict[str, Any], count: int, version: int) -> dict[str, Any]:
+    """Return a document with more teams."""
+    result = deepcopy(document)
+    result["version"] = version
+    priority = document["teams"][0]["default_priority"]
+    for number in range(count):
+        key = hashlib.sha256(f"team {number}".encode()).hexdigest()
+        team = {"id": f"team-{number}", "key_sha256": key, "default_priority": priority}
+        result["teams"].append(team)
+    return result
+
+
+async def vary_teams(window_s: float) -> list[tuple[float, dict[str, Point]]]:
+    """Vary the teams of the document; the size of the document follows."""
+    points = []
+    for count in (10, 1_300, 2_600, 5_200):
+        async with running(FleetSpec(booking_runners=0)) as fleet:
+            await fleet.publish(with_teams(fleet.document, count, 2))
+            await asyncio.sleep(_SETTLE_S)
+            points.append((float(count), await observe(fleet, window_s)))
+    return points
+
+
+async def vary_changes(window_s: float) -> list[tuple[float, dict[str, Point]]]:
+    """Vary the changes of a document with 1,300 teams in a minute."""
+    points = []
+    for per_minute in (0, 15, 30, 60):
+        async with running(FleetSpec(booking_runners=0)) as fleet:
+            base = fleet.document
+            await fleet.publish(with_teams(base, 1_300, 2))
+            await asyncio.sleep(_SETTLE_S)
+
+            async def change(base: Any, fleet: Fleet, per_minute: int) -> None:
+                for version in range(3, 3 + int(window_s * per_minute / 60) + 1):
+                    await asyncio.sleep(60 / per_minute)
+                    await fleet.publish(with_teams(base, 1_300, version))
+
+            task = None
+            if per_minute:
+                task = asyncio.create_task(change(base, fleet, per_minute))
+            points.append((float(per_minute), await observe(fleet, window_s)))
+            if task is not None:
+                task.cancel()
+    return points
+
+
+Series = Callable[[float], Awaitable[list[tuple[float, dict[str, Point]]]]]
+_SERIES: dict[str, Series] = {
+    "entries": vary_entries,
+    "runners": vary_runners,
+    "open streams": vary_streams,
+    "teams": vary_teams,
+    "changes a minute": vary_changes,
+}
+
+
+def report(size: str, points: list[tuple[float, dict[str, Point]]]) -> None:
+    """Print points and fitted lines as Markdown."""
+    sizes = [point[0] for point in points]
+    for role in points[0][1]:
+        print(f"\n### {size}, {role}\n")
+        head = " | ".join(f"{value:g}" for value in sizes)
+        print(f"| figure | {head} | slope per unit | at 0 | error of fit |")
+        print("|---" * (len(sizes) + 4) + "|")
+        for figure in points[0][1][role]:
+            values = [point[1][role][figure] for point in points]
+            line = fit(sizes, values)
+            cells = " | ".join(f"{value:.3g}" for value in values)
+            print(
+                f"| {figure} | {cells} | {line.slope:.4g} | {line.start:.4g} "
+                f"| {line.error:.2g} ({line.relative:.0%} of the span) |"
+            )
+
+
+async def main(window_s: float, only: str | None) -> None:
+    """Run every series and print it."""
+    print(f"load average {os.getloadavg()[0]:.1f} on {os.cpu_count()} cores")
+    for name, series in _SERIES.items():
+        if only in (None, name):
+            report(name, await series(window_s))
+    for name, library_series in LIBRARY_SERIES.items():
+        if only in (None, name):
+            report(name, library_series())
+    print(f"\nload average {os.getloadavg()[0]:.1f} at the end")
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--window", type=float, default=5.0)
+    parser.add_argument("--only")
+    values = parser.parse_args()
+    asyncio.run(main(values.window, values.only))
--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -7,7 +7,9 @@
 
 from grpclib.server import Server
 
+from sardineyard.admission.policies import policy_named as admission_policy
 from sardineyard.agent.key_owner import KeyOwner
+from sardineyard.agent.lease_task import LeaseTask
 from sardineyard.agent.messages import Drain, ReadLoad, ReadQueues
 from sardineyard.agent.scheduler import Scheduler
 from sardineyard.agent.service import AgentService
@@ -48,9 +50,23 @@
         upstream = UpstreamId(settings.upstream)
         incarnation = self._identity.incarnation
         self._scheduler = Scheduler(
-            upstream, incarnation, self._runner(), clock, self._measured
+            upstream,
+            incarnation,
+            self._runner(),
+            clock,
+            self._measured,
+            admission_policy(settings.admission),
+        )
+        self._key_owner = KeyOwner(
+            self._scheduler.mailbox, upstream, incarnation, clock
+        )
+        self._lease = LeaseTask(
+            settings.advertised_address,
+            settings.seed_peers,
+            self._key_owner.mailbox,
+            clock,
+            Random(),
         )
-        self._key_owner = KeyOwner(self._scheduler.mailbox)
         self._sync = ConfigSync(
             PeerMember(
                 self._identity.process,
@@ -66,6 +82,9 @@
             self._measured,
         )
         self._sync.subscribe(self._scheduler.mailbox)
+        self._sync.subscribe(self._key_owner.mailbox)
+        if self._has_keys:
+            self._sync.subscribe(self._lease.mailbox)
         self._service = AgentService(
             upstream,
             incarnation,
@@ -88,6 +107,8 @@
         """Start the tasks and listen."""
         self._tasks.start("scheduler", self._scheduler.run())
         self._tasks.start("key-owner", self._key_owner.run())
+        if self._has_keys:
+            self._tasks.start("address-lease", self._lease.run())
         address = self._settings.peer_address
         await self._server.start(address.host, address.port)
         self._sync.start(self._tasks)
@@ -122,8 +143,15 @@
             return ModelRunner(self._pool)
         return PlainService(self._pool)
 
+    @property
+    def _has_keys(self) -> bool:
+        # Only plain services have calls with keys, so only their agents need a lease.
+        return self._settings.upstream_kind is UpstreamKind.PLAIN_SERVICE
+
     def _is_ready(self) -> bool:
-        return self._state is ProcessState.SERVING and self._sync.current is not None
+        if self._state is not ProcessState.SERVING or self._sync.current is None:
+            return False
+        return not self._has_keys or self._key_owner.accepts_new_keys
 
     async def _dump(self) -> AgentDump:
         load = await self._load()
@@ -140,6 +168,9 @@
             running=load.running,
             queued=load.queued,
             queues=await self._queues(),
+            lease_held=self._key_owner.lease_held,
+            idempotency_keys=self._key_owner.key_count,
+            idempotency_floor=self._key_owner.floor,
             config=config_view(await self._sync.dump()),
         )
 
@@ -158,4 +189,7 @@
         for queue in await self._queues():
             self._measured.queued(queue.priority, queue.queued)
         self._measured.running((await self._load()).running)
+        if self._has_keys:
+            self._measured.address_lease(self._key_owner.lease_held)
+            self._measured.idempotency_keys(self._key_owner.key_count)
         return self._measured.render()
--- a/packages/telemetry/src/sardineyard/telemetry/metrics.py
+++ b/packages/telemetry/src/sardineyard/telemetry/metrics.py
@@ -30,9 +30,6 @@
         self._document = self._gauge(
             "document_version", "Version of the configuration document in force."
         )
-        self._document_rejected = self._counter(
-            "document_rejected_total", "Documents that were read but are invalid."
-        )
         self._control_bytes = self._counter(
             "control_bytes_total", "Bytes of control messages by channel and direction."
         )
@@ -50,10 +47,6 @@
         """Record the version of the document in force."""
         self._document.set({}, version)
 
-    def document_was_rejected(self) -> None:
-        """Count an invalid document."""
-        self._document_rejected.inc({})
-
     def control_message(
         self, channel: ControlChannel, direction: Direction, size: int
     ) -> None:
@@ -110,9 +103,6 @@
         self._upstreams = self._gauge(
             "upstreams", "Upstreams of the subset by believed state."
         )
-        self._quarantined = self._gauge(
-            "quarantined_fingerprints", "Requests that are refused after crashes."
-        )
 
     def request_started(self) -> None:
         """Count a request that is now open."""
@@ -155,10 +145,6 @@
         """Record how many upstreams of the subset are in a state."""
         self._upstreams.set({"state": state.value}, count)
 
-    def quarantined(self, count: int) -> None:
-        """Record how many fingerprints are refused."""
-        self._quarantined.set({}, count)
-
 
 class AgentMetrics(ProcessMetrics):
     """Count what an agent does."""
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -109,7 +109,6 @@
     """Hold the state of an entry."""
 
     upstreams: tuple[UpstreamView, ...] = ()
-    quarantined: int = 0
 
 
 class AgentDump(ProcessDump, frozen=True, kw_only=True, tag_field="role", tag="agent"):
@@ -123,7 +122,8 @@
     lease_held: bool = False
     lease_remaining_s: float = 0.0
     idempotency_keys: int = 0
-    idempotency_floor: float = 0.0
+    # None where every key is new; JSON has no infinite numbers.
+    idempotency_floor: float | None = None
     groups: tuple[GroupView, ...] = ()
 
 
