--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -10,8 +10,10 @@
 import asyncio
 import hashlib
 import os
+import re
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from copy import deepcopy
@@ -31,20 +33,26 @@
 
 _ROLES = {"entry": "entry-1", "agent": "agent-model-1"}
 _SETTLE_S = 2.0
+_CONTROL = re.compile(
+    r'sardineyard_control_(bytes|messages)_total\{.*channel="(\w+)".*\} (\S+)'
+)
+_FIGURES = ("session B/s", "peer B/s", "platform B/s", "control messages/s")
 _INTERVAL_S = 0.0625
 
 Point = dict[str, float]
 
 
-async def control(fleet: Fleet, name: str) -> tuple[float, float]:
-    """Return the control bytes and messages of a daemon so far."""
+async def control(fleet: Fleet, name: str) -> Counter[str]:
+    """Return the control bytes by channel and the messages of a daemon so far."""
     response = await fetch(fleet.ports[name].admin, HttpRequest("GET", "/metrics"), 5.0)
-    totals = {"control_bytes_total": 0.0, "control_messages_total": 0.0}
+    totals: Counter[str] = Counter()
     for line in response.body.decode().splitlines():
-        for metric in totals:
-            if line.startswith(f"sardineyard_{metric}{{"):
-                totals[metric] += float(line.split()[-1])
-    return totals["control_bytes_total"], totals["control_messages_total"]
+        found = _CONTROL.match(line)
+        if found and found[1] == "bytes":
+            totals[f"{found[2]} B/s"] += int(float(found[3]))
+        elif found:
+            totals["control messages/s"] += int(float(found[3]))
+    return totals
 
 
 def cpu_s(pid: int) -> float:
@@ -63,14 +71,15 @@
     points = {}
     for role, name in _ROLES.items():
         pid = pid_of(fleet, name)
-        used, (sent, count) = before[role]
+        used, counted = before[role]
         cpu = (cpu_s(pid) - used) / elapsed
-        now_bytes, now_count = await control(fleet, name)
+        now = await control(fleet, name)
         points[role] = {
             "cpu %": cpu * 100,
             "resident MB": figures(pid).resident_mb,
-            "control B/s": (now_bytes - sent) / elapsed,
-            "control messages/s": (now_count - count) / elapsed,
+            **{
+                figure: (now[figure] - counted[figure]) / elapsed for figure in _FIGURES
+            },
         }
     return points
 
--- a/packages/telemetry/src/sardineyard/telemetry/metrics.py
+++ b/packages/telemetry/src/sardineyard/telemetry/metrics.py
@@ -39,9 +39,6 @@
         self._state = self._gauge(
             "process_state", "1 for the state that the process is in."
         )
-        self._pauses = self._counter(
-            "process_pauses_total", "Times at which the event loop stood still."
-        )
 
     def document_in_force(self, version: int) -> None:
         """Record the version of the document in force."""
@@ -60,10 +57,6 @@
         for other in type(state):
             self._state.set({"state": other.value}, int(other is state))
 
-    def process_paused(self) -> None:
-        """Count one pause of the event loop."""
-        self._pauses.inc({})
-
     def render(self) -> tuple[dict[str, str], bytes]:
         """Return the headers and the body of a response in the text format."""
         body, headers = render(self._registry, ())
@@ -165,9 +158,6 @@
             "address_lease", "1 while the agent holds the lease of its address."
         )
         self._keys = self._gauge("idempotency_keys", "Keys in the key table.")
-        self._skew = self._gauge(
-            "group_step_skew", "Largest over mean step time of the ranks of a group."
-        )
         self._stragglers = self._gauge("group_stragglers", "Slow ranks of a group.")
         self._map_version = self._gauge(
             "group_map_version", "Version of the expert map in use by a group."
@@ -205,10 +195,9 @@
         """Record the number of keys in the key table."""
         self._keys.set({}, count)
 
-    def group_steps(self, group: GroupId, skew: float, stragglers: int) -> None:
-        """Record the skew of step times and the number of slow ranks."""
-        self._skew.set({"group": group}, skew)
-        self._stragglers.set({"group": group}, stragglers)
+    def group_stragglers(self, group: GroupId, count: int) -> None:
+        """Record the number of slow ranks."""
+        self._stragglers.set({"group": group}, count)
 
     def group_map(self, group: GroupId, version: int) -> None:
         """Record the version of the expert map in use."""
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -67,6 +67,11 @@
     committed: int = 0
     map_version: int = 0
     stragglers: tuple[int, ...] = ()
+    # Ranks for which the others wait at the barrier.
+    stalled: tuple[int, ...] = ()
+    # Why the group cannot serve, or empty.
+    problem: str = ""
+    coordinating: bool = False
 
 
 class RequestView(msgspec.Struct, frozen=True, kw_only=True):
@@ -122,7 +127,7 @@
     lease_held: bool = False
     lease_remaining_s: float = 0.0
     idempotency_keys: int = 0
-    # None where every key is new; JSON has no infinite numbers.
+    # Seconds since 1970; none before the address lease was acquired once.
     idempotency_floor: float | None = None
     groups: tuple[GroupView, ...] = ()
 
