--- a/packages/entry/src/sardineyard/entry/route_state.py
+++ b/packages/entry/src/sardineyard/entry/route_state.py
@@ -174,7 +174,7 @@
         owner = self._ownership.place(scoped).owner
         view = self.table.view(owner) if owner is not None else None
         # An owner that drains still has the answers of the keys that it knows.
-        if view is None or view.state is UpstreamState.GONE:
+        if view is None or view.state in (UpstreamState.GONE, UpstreamState.SUSPECT):
             return Failure(RequestError(ErrorKind.OWNER_UNAVAILABLE))
         return Success(view.upstream)
 
