--- a/packages/agent/src/sardineyard/agent/daemon.py
+++ b/packages/agent/src/sardineyard/agent/daemon.py
@@ -231,4 +231,10 @@
         for queue in await self._queues():
             self._measured.queued(queue.priority, queue.queued)
         self._measured.running((await self._load()).running)
+        for group in await self._groups():
+            self._measured.group_stragglers(group.group, len(group.stragglers))
+            self._measured.group_map(group.group, group.map_version)
+        if self._has_keys:
+            self._measured.address_lease(self._key_owner.lease_held)
+            self._measured.idempotency_keys(self._key_owner.key_count)
         return self._measured.render()
--- a/packages/cli/src/sardineyard/cli/state.py
+++ b/packages/cli/src/sardineyard/cli/state.py
@@ -97,8 +97,7 @@
 
 @tables_of.register(EntryDump)
 def _(dump: EntryDump) -> list[Table]:
-    own = [("quarantined", dump.quarantined)]
-    return [_process(dump, own), _rows("upstreams", dump.upstreams), *_common(dump)]
+    return [_process(dump, []), _rows("upstreams", dump.upstreams), *_common(dump)]
 
 
 @tables_of.register(AgentDump)
--- a/packages/daemon/tests/test_observability.py
+++ b/packages/daemon/tests/test_observability.py
@@ -61,6 +61,8 @@
         assert _value(lines, "control_bytes_total", '"sent"', '"peer"') > 0
         assert _value(lines, "sardineyard_calls_total", 'kind="none"') == 1
         assert _value(lines, "queue_seconds_count") == 1
+        assert _value(lines, "sardineyard_address_lease") == 1
+        assert _value(lines, "sardineyard_idempotency_keys") == 1
         assert _value(lines, "control_bytes_total", '"received"', '"session"') > 0
 
     run_fleet(FleetSpec(model_runners=1), scenario)
--- a/packages/telemetry/src/sardineyard/telemetry/state.py
+++ b/packages/telemetry/src/sardineyard/telemetry/state.py
@@ -114,7 +114,6 @@
     """Hold the state of an entry."""
 
     upstreams: tuple[UpstreamView, ...] = ()
-    quarantined: int = 0
 
 
 class AgentDump(ProcessDump, frozen=True, kw_only=True, tag_field="role", tag="agent"):
