--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -93,14 +93,19 @@
     assert table.state(upstreams[0]) is UpstreamState.LIVE
 
 
-@settings(deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@settings(
+    max_examples=400,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
 @given(data=strategies.data())
 def test_no_evidence_brings_a_leaving_or_unknown_upstream_into_a_set(
     make_table: Callable[[], MembershipTable], clock: ManualClock, upstreams, data
 ) -> None:
     """Guards against a sequence of evidence that lets work through to a leaving VM."""
     table = make_table()
-    ids = strategies.sampled_from(upstreams)
+    # Few ids make it likely that pieces of evidence meet.
+    ids = strategies.sampled_from(upstreams[:2])
     incarnations = strategies.sampled_from([ONE, TWO])
     evidence = strategies.one_of(
         strategies.builds(SessionUp, ids, incarnations),
