--- a/bench/run_scenarios.py
+++ b/bench/run_scenarios.py
@@ -74,7 +74,11 @@
 
 def run_with_alone(scenario: Scenario, combination: str, seed: int) -> Figures:
     """Run once, and once more with the small teams alone if there are any."""
-    figures = fleet_run.run_once(scenario, combination, seed)
+    try:
+        figures = fleet_run.run_once(scenario, combination, seed)
+    except TimeoutError:
+        print(f"{scenario.name} {combination} {seed}: no start in time, once more")
+        figures = fleet_run.run_once(scenario, combination, seed)
     if scenario.alone:
         alone = fleet_run.run_once(scenario, combination, seed, scenario.alone)
         run_decisions.compare_with_alone(scenario, figures, alone)
