--- a/packages/admission/tests/test_queue.py
+++ b/packages/admission/tests/test_queue.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from sardineyard.admission.model import Queued, Refused
@@ -89,6 +89,7 @@
     shares=st.tuples(*[st.floats(0.05, 0.3)] * 3),
     tokens=st.tuples(*[st.integers(1, 50)] * 3),
 )
+@example(shares=(0.25, 0.25, 0.25), tokens=(19, 7, 1))
 def test_a_flood_leaves_every_priority_its_reserved_share(
     make_queue: Make,
     make_work: MakeWork,
