Serve the earliest due priority among those below their share

Ruled out: the largest credit first, which fails with sizes 38, 39 and 1. Change: a request is due when the share has earned its cost, and the earliest due goes first (earliest eligible virtual deadline first), which keeps each priority within one request of its share.

--- a/packages/admission/src/sardineyard/admission/policies.py
+++ b/packages/admission/src/sardineyard/admission/policies.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.admission.backlog import Item
-    from sardineyard.admission.lanes import Lanes
+    from sardineyard.admission.lanes import Lane, Lanes
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +56,11 @@
         for lane in lanes
         if len(lane) and free_slots > lanes.kept_free(lane.rule, now)
     ]
-    for lane in allowed:
-        if lanes.shares.is_below(lane.rule.name):
-            return lane.first(now)
+    below = [lane for lane in allowed if lanes.shares.is_below(lane.rule.name)]
+    if below:
+        # Earliest due first: serving them by urgency would let the least urgent fall
+        # behind its share by a request of each of the others. Equals go by urgency.
+        return min(below, key=lambda lane: _due_in(lanes, lane, now)).first(now)
     # Work whose target is missed has no worth left, so it waits behind work of
     # any priority that can still meet its own.
     for lane in allowed:
@@ -70,6 +72,12 @@
     return None
 
 
+def _due_in(lanes: Lanes, lane: Lane, now: float) -> float:
+    item = lane.first(now)
+    cost = lanes.estimates.cost(item.work) if item is not None else 0.0
+    return lanes.shares.due_in(lane.rule.name, cost)
+
+
 @singledispatch
 def refuses_early(policy: object) -> bool:
     """Return whether work that cannot meet its deadline is refused."""
--- a/packages/admission/src/sardineyard/admission/shares.py
+++ b/packages/admission/src/sardineyard/admission/shares.py
@@ -31,6 +31,15 @@
         """Return whether a priority goes before the more urgent ones."""
         return self._reserved[priority] > 0 and self._credit[priority] >= 0
 
+    def due_in(self, priority: PriorityName, cost: float) -> float:
+        """Return the tokens of all work within which the next request is due.
+
+        A request is due when the share has earned its cost. Serving the earliest
+        due first keeps each priority within one request of its share, as long as
+        the shares sum to at most 1 (earliest eligible virtual deadline first).
+        """
+        return (cost - self._credit[priority]) / self._reserved[priority]
+
     def reserved(self, priority: PriorityName) -> float:
         """Return the reserved share of a priority."""
         return self._reserved[priority]
--- a/packages/admission/tests/test_queue.py
+++ b/packages/admission/tests/test_queue.py
@@ -90,6 +90,7 @@
     tokens=st.tuples(*[st.integers(1, 50)] * 3),
 )
 @example(shares=(0.25, 0.25, 0.25), tokens=(19, 7, 1))
+@example(shares=(0.25, 0.25, 0.125), tokens=(38, 39, 1))
 def test_a_flood_leaves_every_priority_its_reserved_share(
     make_queue: Make,
     make_work: MakeWork,
