Apply the limits of the document at the entry

Cause: max_in_flight of a team and the limits for heads, bodies and connections were documented and validated, but no code read them (found by reading). Ruled out: settings for the HTTP limits, which would differ between entries. Change: the front counts a team's open requests; the server takes the limits of the document for connections from then on.

--- a/packages/entry/src/sardineyard/entry/daemon.py
+++ b/packages/entry/src/sardineyard/entry/daemon.py
@@ -35,6 +35,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
+    from sardineyard.document.model import Limits
     from sardineyard.settings.processes import EntrySettings
     from sardineyard.telemetry.state import UpstreamView
 
@@ -142,6 +143,7 @@
             return None
         if self._indexed is None or self._indexed[0] is not current:
             self._indexed = (current, Directory(current.document))
+            self._callers.use_limits(_http_limits(current.document.limits))
         return self._indexed[1]
 
     def _is_draining(self) -> bool:
@@ -177,3 +179,11 @@
         for state in UpstreamState:
             self._measured.upstreams(state, states.count(state))
         return self._measured.render()
+
+
+def _http_limits(limits: Limits) -> HttpLimits:
+    return HttpLimits(
+        max_head_bytes=limits.max_head_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        max_connections=limits.max_connections,
+    )
--- a/packages/entry/src/sardineyard/entry/front.py
+++ b/packages/entry/src/sardineyard/entry/front.py
@@ -24,6 +24,7 @@
     from collections.abc import Callable
 
     from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import TeamId
     from sardineyard.daemon.admin import MetricsPage
     from sardineyard.entry.completions import CompletionFront
     from sardineyard.entry.directory import Directory
@@ -116,6 +117,9 @@
         self._metrics.request_ended(None, TeamClass.NONE, error)
         await send_problem(exchange, error)
 
+    def _open_of(self, team: TeamId) -> int:
+        return sum(observer.team == team for observer in self._open.values())
+
     def _is_ready(self) -> bool:
         return self._directory() is not None and not self._is_draining()
 
@@ -129,9 +133,12 @@
             return _refuse_now(request, ErrorKind.NOT_READY)
         match admit(request, directory, self._clock):
             case Success(admitted):
+                is_over = self._open_of(admitted.team.id) >= admitted.team.max_in_flight
                 observer.admitted(admitted)
             case Failure(error):
                 return error
+        if is_over:
+            return _refuse_now(request, ErrorKind.TOO_MANY_REQUESTS)
         path = request.path
         if path in _COMPLETIONS:
             if request.method != "POST":
--- a/packages/entry/src/sardineyard/entry/observe.py
+++ b/packages/entry/src/sardineyard/entry/observe.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
-    from sardineyard.core.ids import RequestId
+    from sardineyard.core.ids import RequestId, TeamId
     from sardineyard.entry.admission import Admitted
     from sardineyard.telemetry.metrics import EntryMetrics
 
@@ -32,6 +32,11 @@
         self._error: RequestError | None = RequestError(ErrorKind.CANCELLED)
         metrics.request_started()
 
+    @property
+    def team(self) -> TeamId | None:
+        """Return the team, once it is known."""
+        return self._admitted.team.id if self._admitted is not None else None
+
     def admitted(self, admitted: Admitted) -> None:
         """Record the team and the priority."""
         self._admitted = admitted
--- a/packages/httpio/src/sardineyard/httpio/server.py
+++ b/packages/httpio/src/sardineyard/httpio/server.py
@@ -63,6 +63,10 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
+    def use_limits(self, limits: HttpLimits) -> None:
+        """Apply other limits to connections that are accepted from now on."""
+        self._limits = limits
+
     async def start(self) -> None:
         """Start to listen."""
         self._server = await asyncio.start_server(
