Close a session at the agent when its entry is silent

Cause: an entry replaces a silent connection after 2 s, but the agent kept the old session until TCP gave up, and its generations held slots until their end. Ruled out: TCP keepalive, which cannot see a peer that answers probes for a dead process, and the entry's limit of 2 s, which a paused entry would exceed. Change: no frame for 6 s ends the session; entries ping every 0.5 s. Figures: the new test times out without the limit and passes with it; the seven membership tests pass, among them the entry that is paused for 3.5 s.

--- a/packages/agent/src/sardineyard/agent/session.py
+++ b/packages/agent/src/sardineyard/agent/session.py
@@ -40,6 +40,9 @@
 # Events that arrive within this time of the last frame travel in one frame. This
 # bounds the frames of a busy session at 250 a second.
 _FLUSH_INTERVAL_S = 0.004
+# An entry pings every 0.5 s and gives a silent session up after 2 s. The agent waits
+# longer, because a paused entry that goes on can still use its session.
+_SILENCE_LIMIT_S = 6.0
 _CONTROL_EVENTS = frozenset({"welcome", "pong"})
 
 
@@ -77,16 +80,27 @@
         self._outbox.post(Welcome(upstream, incarnation))
         sender = asyncio.get_running_loop().create_task(self._send())
         try:
+            await self._receive()
+        except TimeoutError:
+            _logger.warning(
+                "session closed, the entry was silent",
+                extra={"event": "session_silent", "silence_s": _SILENCE_LIMIT_S},
+            )
+        finally:
+            sender.cancel()
+            self._end()
+            self._scheduler.post(SessionClosed(self._number))
+
+    async def _receive(self) -> None:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(_SILENCE_LIMIT_S) as silence:
             async for frame in self._stream:
+                silence.reschedule(loop.time() + _SILENCE_LIMIT_S)
                 message = from_frame(frame, self._clock)
                 if isinstance(message, (Hello, Ping)):
                     self._count(Direction.RECEIVED, frame.ByteSize())
                 if message is not None:
                     await self._handle(message)
-        finally:
-            sender.cancel()
-            self._end()
-            self._scheduler.post(SessionClosed(self._number))
 
     async def flush(self) -> None:
         """Return when the events so far were sent or the session has ended."""
--- a/packages/entry/tests/test_membership.py
+++ b/packages/entry/tests/test_membership.py
@@ -174,6 +174,34 @@
     run_fleet(FleetSpec(token_interval_s=0.02, booking_delay_s=1.0), scenario)
 
 
+def test_an_agent_ends_the_calls_of_a_silent_session(run_fleet, proxy_agents) -> None:
+    """Guards against generations that hold slots for an entry that is not there."""
+
+    async def scenario(fleet: Fleet) -> None:
+        (proxy,) = await proxy_agents(fleet, "model-1")
+        call = asyncio.create_task(complete(fleet, "A", 1_000))
+        await asyncio.sleep(0.5)
+        proxy.swallow_open()
+        async with asyncio.timeout(9.0):
+            # Another process cannot set an event here, so its log is polled.
+            while "session_silent" not in fleet.processes["agent-model-1"].log_text():  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+        call.cancel()
+        async with asyncio.timeout(3.0):
+            while (await _running(fleet, "model-1")) > 0:  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+    spec = FleetSpec(model_runners=1, booking_runners=0, token_interval_s=0.05)
+    run_fleet(spec, scenario)
+
+
+async def _running(fleet: Fleet, upstream: str) -> int:
+    address = fleet.runners[upstream]
+    response = await fetch(address, HttpRequest("GET", "/state"), 2.0)
+    running: int = json.loads(response.body)["running"]
+    return running
+
+
 def test_the_vm_list_alone_stops_new_work(run_fleet, upstream_states) -> None:
     """Guards against new work for a leaving VM whose agent does not know it."""
 
