--- /dev/null
+++ b/packages/catalog/src/sardineyard/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration and the upstreams, followed at the store and among peers."""
--- /dev/null
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -0,0 +1,147 @@
+"""Tasks that follow the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from sardineyard.catalog.messages import (
+    ConfigArrived,
+    UpstreamsChanged,
+    UpstreamsListed,
+)
+from sardineyard.forwarding.source import StoreError, StoreFailure
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.mailbox import Mailbox
+    from sardineyard.forwarding.source import CatalogStore
+
+_logger = logging.getLogger(__name__)
+
+# Bounds of the pause between two failed calls, drawn at random below a bound that
+# doubles, so that processes which lost the store together do not return together.
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 1.0
+# Pause before the configuration is asked for again while there is none.
+_NO_CONFIG_PAUSE_S = 0.25
+# Removals that are heard this soon after an outage may be entries that lapsed.
+_LAPSE_SUSPICION_S = 0.5
+
+
+class StoreContact:
+    """Keep track of failed calls of one task, and pause between them."""
+
+    def __init__(self, name: str, clock: Clock, rng: Random) -> None:
+        self._name = name
+        self._clock = clock
+        self._rng = rng
+        self._failures = 0
+        self._lost_at = 0.0
+        self._regained_at = float("-inf")
+
+    @property
+    def is_after_outage(self) -> bool:
+        """Return whether the store was out of reach until a moment ago."""
+        return self._clock.now() - self._regained_at <= _LAPSE_SUSPICION_S
+
+    def succeeded(self) -> None:
+        """Note a call that was answered."""
+        if self._failures:
+            self._regained_at = self._clock.now()
+            _logger.info(
+                "the store answers again",
+                extra={
+                    "event": "store_regained",
+                    "what": self._name,
+                    "failed_calls": self._failures,
+                    "away_s": round(self._regained_at - self._lost_at, 3),
+                },
+            )
+        self._failures = 0
+
+    async def failed(self, error: StoreError) -> None:
+        """Note a failed call and pause."""
+        if not self._failures:
+            self._lost_at = self._clock.now()
+            _logger.warning(
+                "the store does not answer; what is known stays in force",
+                extra={
+                    "event": "store_lost",
+                    "what": self._name,
+                    "failure": error.failure.value,
+                    "reason": str(error),
+                },
+            )
+        bound = min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 10)
+        await asyncio.sleep(self._rng.uniform(0.3, 1.0) * bound)
+
+
+async def follow_config(
+    store: CatalogStore,
+    mailbox: Mailbox[object],
+    contact: StoreContact,
+    watch_s: float,
+) -> None:
+    """Send each new configuration to a mailbox until cancelled."""
+    revision: int | None = None
+    while True:
+        try:
+            if revision is None:
+                read = await store.read_config()
+                contact.succeeded()
+                if read is None:
+                    await asyncio.sleep(_NO_CONFIG_PAUSE_S)
+                    continue
+                newest, revision = read, read.revision
+            else:
+                changes = await store.watch_config(revision, watch_s)
+                contact.succeeded()
+                newest, revision = changes.newest, max(revision, changes.revision)
+            if newest is not None:
+                mailbox.offer(ConfigArrived(newest, "store"))
+        except StoreError as error:
+            if error.failure is StoreFailure.HISTORY_LOST:
+                _log_history_lost("config", revision)
+                revision = None
+            else:
+                await contact.failed(error)
+
+
+async def follow_upstreams(
+    store: CatalogStore,
+    mailbox: Mailbox[object],
+    contact: StoreContact,
+    watch_s: float,
+) -> None:
+    """Send the upstreams and their changes to a mailbox until cancelled."""
+    revision: int | None = None
+    while True:
+        try:
+            if revision is None:
+                snapshot = await store.read_upstreams()
+                contact.succeeded()
+                mailbox.offer(UpstreamsListed(snapshot, contact.is_after_outage))
+                revision = snapshot.revision
+            else:
+                changes = await store.watch_upstreams(revision, watch_s)
+                contact.succeeded()
+                mailbox.offer(UpstreamsChanged(changes, contact.is_after_outage))
+                revision = max(revision, changes.revision)
+        except StoreError as error:
+            if error.failure is StoreFailure.HISTORY_LOST:
+                _log_history_lost("upstreams", revision)
+                revision = None
+            else:
+                await contact.failed(error)
+
+
+def _log_history_lost(what: str, revision: int | None) -> None:
+    _logger.info(
+        "the store no longer keeps the changes since the last one; reading all",
+        extra={"event": "store_history_lost", "what": what, "revision": revision},
+    )
--- /dev/null
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -0,0 +1,200 @@
+"""The task that owns configuration and upstreams and tells subscribers of changes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from sardineyard.catalog.messages import (
+    CatalogChanged,
+    CatalogDump,
+    ConfigArrived,
+    DumpCatalog,
+    ExchangeDue,
+    NewsReceived,
+    PeerNews,
+    UpstreamNews,
+    UpstreamsChanged,
+    UpstreamsListed,
+)
+from sardineyard.core.mailbox import Mailbox
+from sardineyard.forwarding.source import UpstreamRead
+from sardineyard.forwarding.upstreams import UpstreamTable
+
+if TYPE_CHECKING:
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import ServiceName
+    from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
+    from sardineyard.forwarding.source import CatalogStore, ConfigRead
+
+_logger = logging.getLogger(__name__)
+
+# Lapsed entries run out between messages, so the view is made anew this often.
+_EXPIRY_CHECK_S = 0.25
+
+
+class CatalogKeeper:
+    """Merge what store and peers say; the newest version is never given up."""
+
+    def __init__(self, store: CatalogStore, clock: Clock, address: str) -> None:
+        self.mailbox: Mailbox[object] = Mailbox()
+        self._store = store
+        self._address = address
+        self._table = UpstreamTable(clock)
+        self._config: ConfigRead | None = None
+        self._config_source = ""
+        self._is_complete = False
+        self._subscribers: list[Mailbox[object]] = []
+        self._published: CatalogChanged | None = None
+
+    @property
+    def config(self) -> ForwardingConfig | None:
+        """Return the configuration in force."""
+        return None if self._config is None else self._config.config
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether a configuration and a full list of upstreams are known."""
+        return self._config is not None and self._is_complete
+
+    def subscribe(self, mailbox: Mailbox[object]) -> None:
+        """Send each change to a mailbox."""
+        self._subscribers.append(mailbox)
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(_EXPIRY_CHECK_S):
+                    message = await self.mailbox.receive()
+            except TimeoutError:
+                self._publish()
+                continue
+            self._handle(message)
+            self._publish()
+
+    @singledispatchmethod
+    def _handle(self, message: object) -> None:
+        raise TypeError(f"unexpected message {type(message).__name__}")
+
+    @_handle.register(ConfigArrived)
+    def _config_arrived(self, message: ConfigArrived) -> None:
+        self._adopt_config(message.read, message.source)
+
+    @_handle.register(UpstreamsListed)
+    def _upstreams_listed(self, message: UpstreamsListed) -> None:
+        self._table.replace(message.snapshot, after_outage=message.after_outage)
+        self._is_complete = True
+
+    @_handle.register(UpstreamsChanged)
+    def _upstreams_changed(self, message: UpstreamsChanged) -> None:
+        changes = message.changes
+        self._table.merge(
+            changes.changes, changes.revision, after_outage=message.after_outage
+        )
+
+    @_handle.register(ExchangeDue)
+    def _exchange_due(self, message: ExchangeDue) -> None:
+        message.reply.send(self._news())
+
+    @_handle.register(NewsReceived)
+    def _news_received(self, message: NewsReceived) -> None:
+        news = message.news
+        if news.config is not None and news.config_version > self._version:
+            read = self._store.decode_config(news.config, news.config_revision)
+            if read is not None:
+                self._adopt_config(read, f"peer {news.address}")
+        reads = [self._decode(item) for item in news.upstreams]
+        if reads:
+            revision = news.upstream_revision if news.is_complete else 0
+            self._table.merge(reads, revision if self._is_complete else 0)
+            self._is_complete = self._is_complete or news.is_complete
+        if message.reply is not None:
+            message.reply.send(self._news(lacking=news))
+
+    @_handle.register(DumpCatalog)
+    def _dump(self, message: DumpCatalog) -> None:
+        message.reply.send(
+            CatalogDump(
+                config_version=self._version or None,
+                config_source=self._config_source,
+                upstream_revision=self._table.revision,
+                upstreams={
+                    id: record.listing.value
+                    for id, record in self._table.records.items()
+                },
+            )
+        )
+
+    @property
+    def _version(self) -> int:
+        return 0 if self._config is None else self._config.config.version
+
+    def _decode(self, item: UpstreamNews) -> UpstreamRead:
+        if item.raw is None:
+            return UpstreamRead(item.id, item.revision, None)
+        return self._store.decode_upstream(item.id, item.raw, item.revision)
+
+    def _news(self, lacking: PeerNews | None = None) -> PeerNews:
+        config, upstreams = None, ()
+        if lacking is not None:
+            if self._config is not None and lacking.config_version < self._version:
+                config = self._config.raw
+            if lacking.upstream_revision < self._table.revision:
+                upstreams = tuple(
+                    UpstreamNews(*change)
+                    for change in self._table.changes_since(lacking.upstream_revision)
+                )
+        return PeerNews(
+            address=self._address,
+            config_version=self._version,
+            upstream_revision=self._table.revision,
+            config=config,
+            config_revision=0 if self._config is None else self._config.revision,
+            upstreams=upstreams,
+            is_complete=self._is_complete,
+        )
+
+    def _adopt_config(self, read: ConfigRead, source: str) -> None:
+        if read.config.version <= self._version:
+            return
+        _logger.info(
+            "a configuration is in force",
+            extra={
+                "event": "config_adopted",
+                "version": read.config.version,
+                "previous_version": self._version,
+                "revision": read.revision,
+                "source": source,
+                "routes": len(read.config.routes),
+                "teams": len(read.config.teams),
+            },
+        )
+        self._config, self._config_source = read, source
+
+    def _publish(self) -> None:
+        by_service: dict[ServiceName, list[UpstreamEntry]] = {}
+        # Expires lapsed entries.
+        for service in {r.entry.service for r in self._table.records.values()}:
+            by_service[service] = self._table.usable(service)
+        changed = CatalogChanged(
+            self.config,
+            {service: tuple(entries) for service, entries in by_service.items()},
+            self._table.revision,
+        )
+        if self._is_same(changed):
+            return
+        self._published = changed
+        for subscriber in self._subscribers:
+            subscriber.post(changed)
+
+    def _is_same(self, changed: CatalogChanged) -> bool:
+        before = self._published
+        return (
+            before is not None
+            and before.config is changed.config
+            and before.upstreams == changed.upstreams
+        )
+
--- /dev/null
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -0,0 +1,268 @@
+"""Exchange of news between the processes of the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from sardineyard.catalog.messages import ExchangeDue, NewsReceived, PeerLoads, PeerNews
+from sardineyard.core.address import parse_address
+from sardineyard.core.mailbox import Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from grpclib.server import Stream
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.mailbox import Mailbox
+
+_logger = logging.getLogger(__name__)
+
+EXCHANGE_METHOD = "/sardineyard.catalog.Peers/Exchange"
+
+# Pause between rounds and peers asked in each: with ten processes each pair talks
+# about seven times a second, which keeps the view of their load younger than 150 ms.
+_ROUND_S = 0.1
+_PEERS_PER_ROUND = 3
+_CALL_TIMEOUT_S = 0.6
+# A peer that stays silent this long is no longer counted; its requests are gone or
+# its view of the fleet is.
+_SILENT_S = 2.0
+# A peer that was never heard from is tried this often, and forgotten after a while.
+_RETRY_S = 1.0
+_FORGET_S = 10.0
+_MAX_MEMBERS = 64
+_ERRORS = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    msgspec.DecodeError,
+)
+
+
+class NewsCodec(CodecBase):
+    """Encode messages as MessagePack."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: object, message_type: object) -> bytes:
+        """Return the bytes of a message."""
+        return msgspec.msgpack.encode(message)
+
+    def decode(self, data: bytes, message_type: type[object]) -> object:
+        """Return a message from its bytes; raise msgspec.DecodeError."""
+        return msgspec.msgpack.decode(data, type=message_type)
+
+
+class PeerService:
+    """Answer the exchanges that peers start."""
+
+    def __init__(self, keeper: Mailbox[object], exchange: PeerExchange) -> None:
+        self._keeper = keeper
+        self._exchange = exchange
+
+    async def exchange(self, stream: Stream[PeerNews, PeerNews]) -> None:
+        """Take the news of a peer and return what it lacks."""
+        news = await stream.recv_message()
+        if news is None:
+            return
+        self._exchange.heard(news)
+        reply: Reply[PeerNews] = Reply()
+        self._keeper.post(NewsReceived(news, reply))
+        await stream.send_message(self._exchange.sign(await reply.wait()))
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the methods of this service (called by grpclib)."""
+        return {
+            EXCHANGE_METHOD: Handler(
+                self.exchange, Cardinality.UNARY_UNARY, PeerNews, PeerNews
+            )
+        }
+
+
+@dataclass(slots=True)
+class _Peer:
+    address: str
+    channel: Channel | None = None
+    heard_at: float = float("-inf")
+    tried_at: float = float("-inf")
+    known_since: float = 0.0
+    in_flight: dict[str, int] | None = None
+    is_busy: bool = False
+
+
+class PeerExchange:
+    """Own the channels to peers and exchange news with them in turn."""
+
+    def __init__(
+        self,
+        keeper: Mailbox[object],
+        own_address: str,
+        seeds: tuple[str, ...],
+        clock: Clock,
+        rng: Random,
+        in_flight: Callable[[], dict[str, int]],
+    ) -> None:
+        self._keeper = keeper
+        self._own_address = own_address
+        self._clock = clock
+        self._rng = rng
+        self._in_flight = in_flight
+        self._seeds = seeds
+        self._peers: dict[str, _Peer] = {}
+        self._order: list[str] = []
+        self._subscribers: list[Mailbox[object]] = []
+        self._calls: set[asyncio.Task[None]] = set()
+
+    @property
+    def alive(self) -> list[str]:
+        """Return the addresses of the peers heard from of late."""
+        oldest = self._clock.now() - _SILENT_S
+        return [p.address for p in self._peers.values() if p.heard_at >= oldest]
+
+    def subscribe(self, mailbox: Mailbox[object]) -> None:
+        """Send the load of the peers to a mailbox after each round."""
+        self._subscribers.append(mailbox)
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other first addresses."""
+        self._seeds = seeds
+
+    def sign(self, news: PeerNews) -> PeerNews:
+        """Return news with the load and the members that this process knows."""
+        return msgspec.structs.replace(
+            news,
+            in_flight=self._in_flight(),
+            members=tuple(self.alive[:_MAX_MEMBERS]),
+        )
+
+    def heard(self, news: PeerNews) -> None:
+        """Take in who a peer is, its load and whom it knows."""
+        for member in news.members:
+            self._know(member)
+        if not news.address:
+            return
+        peer = self._know(news.address)
+        if peer is not None:
+            if peer.heard_at < self._clock.now() - _SILENT_S:
+                _log_peer("peer_heard", peer.address)
+            peer.heard_at = self._clock.now()
+            peer.in_flight = news.in_flight
+
+    async def run(self) -> None:
+        """Exchange news until cancelled."""
+        try:
+            while True:
+                for seed in self._seeds:
+                    self._know(seed)
+                self._forget_silent()
+                for peer in self._next_peers():
+                    self._start(peer)
+                self._publish()
+                await asyncio.sleep(_ROUND_S * self._rng.uniform(0.8, 1.2))
+        finally:
+            for peer in self._peers.values():
+                _close(peer)
+
+    def _know(self, address: str) -> _Peer | None:
+        if address == self._own_address:
+            return None
+        if address not in self._peers:
+            try:
+                parse_address(address)
+            except ValueError:
+                _log_peer("peer_address_malformed", address)
+                return None
+            self._peers[address] = _Peer(address, known_since=self._clock.now())
+        return self._peers[address]
+
+    def _forget_silent(self) -> None:
+        now = self._clock.now()
+        for address, peer in list(self._peers.items()):
+            silent_s = now - max(peer.heard_at, peer.known_since)
+            if silent_s > _FORGET_S and address not in self._seeds:
+                _close(peer)
+                del self._peers[address]
+                _log_peer("peer_forgotten", address)
+
+    def _next_peers(self) -> list[_Peer]:
+        now = self._clock.now()
+        chosen: list[_Peer] = []
+        if not self._order:
+            self._order = self._rng.sample(list(self._peers), len(self._peers))
+        while self._order and len(chosen) < _PEERS_PER_ROUND:
+            peer = self._peers.get(self._order.pop())
+            if peer is None or peer.is_busy:
+                continue
+            is_silent = now - peer.heard_at > _SILENT_S
+            if not is_silent or now - peer.tried_at > _RETRY_S:
+                chosen.append(peer)
+        return chosen
+
+    def _start(self, peer: _Peer) -> None:
+        peer.is_busy = True
+        peer.tried_at = self._clock.now()
+        task = asyncio.get_running_loop().create_task(self._call(peer))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _call(self, peer: _Peer) -> None:
+        reply: Reply[PeerNews] = Reply()
+        self._keeper.post(ExchangeDue(reply))
+        try:
+            news = self.sign(await reply.wait())
+            if peer.channel is None:
+                address = parse_address(peer.address)
+                peer.channel = Channel(address.host, address.port, codec=NewsCodec())
+            method = UnaryUnaryMethod(
+                peer.channel, EXCHANGE_METHOD, PeerNews, PeerNews
+            )
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                answer: PeerNews = await method(news)
+        except _ERRORS as error:
+            # A channel that went silent stays silent, so each failure costs it.
+            _close(peer)
+            if self._clock.now() - peer.heard_at < _SILENT_S:
+                _log_peer("peer_call_failed", peer.address, repr(error))
+        else:
+            self.heard(answer)
+            self._keeper.post(NewsReceived(answer))
+        finally:
+            peer.is_busy = False
+
+    def _publish(self) -> None:
+        oldest = self._clock.now() - _SILENT_S
+        totals: dict[str, int] = {}
+        processes = 1
+        for peer in self._peers.values():
+            if peer.heard_at < oldest or peer.in_flight is None:
+                continue
+            processes += 1
+            for upstream, count in peer.in_flight.items():
+                totals[upstream] = totals.get(upstream, 0) + count
+        for subscriber in self._subscribers:
+            subscriber.offer(PeerLoads(totals, processes))
+
+
+def _close(peer: _Peer) -> None:
+    if peer.channel is not None:
+        peer.channel.close()
+        peer.channel = None
+
+
+def _log_peer(event: str, address: str, reason: str = "") -> None:
+    _logger.info(
+        "a peer changed", extra={"event": event, "peer": address, "reason": reason}
+    )
--- /dev/null
+++ b/packages/forwarding/src/sardineyard/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a gateway, free of sockets and encodings."""
--- /dev/null
+++ b/packages/forwarding/src/sardineyard/forwarding/health.py
@@ -0,0 +1,103 @@
+"""Ejection of upstreams whose calls fail more often than those of the others."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sardineyard.core.clock import Deadline, deadline_after
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sardineyard.core.clock import Clock
+
+_logger = logging.getLogger(__name__)
+
+# Weight of the newest result in the moving failure rate: about the last eight calls.
+_NEWEST_WEIGHT = 0.12
+# An upstream is ejected when its failure rate is above this and above twice the mean
+# of its service, so that a fault shared by all ejects nobody.
+_EJECTION_RATE = 0.35
+_MEAN_FACTOR = 2.0
+# Seconds of the first ejection; they double with each further one in a row.
+_FIRST_EJECTION_S = 1.0
+_LONGEST_EJECTION_S = 8.0
+# Most of a service that may be ejected at once.
+_MAX_EJECTED_SHARE = 0.34
+
+
+@dataclass(slots=True)
+class _Health:
+    failure_rate: float = 0.0
+    ejected_until: Deadline = Deadline(0.0)
+    ejections: int = 0
+
+
+class HealthTable:
+    """Follow the results of calls by upstream."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._health: dict[str, _Health] = {}
+
+    def succeeded(self, upstream: str) -> None:
+        """Count a call that was answered."""
+        health = self._health.get(upstream)
+        if health is not None:
+            health.failure_rate *= 1 - _NEWEST_WEIGHT
+            if self._clock.now() > health.ejected_until:
+                health.ejections = 0
+
+    def failed(self, upstream: str, peers: Sequence[str], *, certain: bool) -> None:
+        """Count a failed call; a certain failure, such as no listener, ejects."""
+        health = self._health.setdefault(upstream, _Health())
+        health.failure_rate += (1 - health.failure_rate) * _NEWEST_WEIGHT
+        now = self._clock.now()
+        if health.ejected_until > now:
+            return
+        others = [self._rate(peer) for peer in peers if peer != upstream]
+        mean = sum(others) / len(others) if others else 1.0
+        is_outlier = health.failure_rate > max(_EJECTION_RATE, _MEAN_FACTOR * mean)
+        if certain or is_outlier:
+            self._eject(upstream, health, peers)
+
+    def available(self, upstreams: Sequence[str]) -> set[str]:
+        """Return the upstreams that are not ejected; all, where none would be left."""
+        now = self._clock.now()
+        left = {
+            upstream
+            for upstream in upstreams
+            if upstream not in self._health
+            or self._health[upstream].ejected_until <= now
+        }
+        return left or set(upstreams)
+
+    def forget_all_but(self, upstreams: set[str]) -> None:
+        """Drop what is known of upstreams that are gone."""
+        for upstream in list(self._health):
+            if upstream not in upstreams:
+                del self._health[upstream]
+
+    def _rate(self, upstream: str) -> float:
+        health = self._health.get(upstream)
+        return health.failure_rate if health else 0.0
+
+    def _eject(self, upstream: str, health: _Health, peers: Sequence[str]) -> None:
+        available = self.available(peers)
+        ejected = len(peers) - len(available)
+        if len(peers) > 1 and ejected + 1 > max(1, len(peers) * _MAX_EJECTED_SHARE):
+            return
+        seconds = min(_LONGEST_EJECTION_S, _FIRST_EJECTION_S * 2**health.ejections)
+        health.ejections += 1
+        health.ejected_until = deadline_after(self._clock, seconds)
+        _logger.info(
+            "an upstream gets no new work for a time",
+            extra={
+                "event": "upstream_ejected",
+                "upstream": upstream,
+                "failure_rate": round(health.failure_rate, 3),
+                "seconds": seconds,
+            },
+        )
--- /dev/null
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -0,0 +1,292 @@
+"""Admission: which waiting request gets the next place, and where."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from typing import TYPE_CHECKING, NewType
+
+from sardineyard.core.clock import Deadline, remaining
+from sardineyard.forwarding.config import ServiceProfile
+from sardineyard.forwarding.passes import PassModel
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+    from random import Random
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import FailureDomain, ServiceName
+    from sardineyard.forwarding.config import UpstreamEntry
+
+TicketId = NewType("TicketId", int)
+
+# Requests beyond its slots that a plain upstream is given; it queues a few itself.
+_QUEUED_AT_UPSTREAM = 2
+# Part of the streams that each further priority leaves to the more urgent ones.
+_RESERVED_PER_PRIORITY = 0.06
+_MOST_RESERVED = 0.3
+# Cost of another failure domain in places: bytes between domains are paid for.
+_OTHER_DOMAIN_COST = 0.4
+# A request is held for a place until this multiple of its target latency. Callers
+# give a stream up at four times the target.
+_HOLD_TARGETS = 2.4
+# Part of the time left after which a plain request that waits is refused, so that
+# its caller can come back in time.
+_HOLD_TIME_LEFT = 0.4
+# Callers wait for at most a third of the time that they have left.
+_RETRY_TIME_LEFT = 0.25
+_LEAST_RETRY_AFTER_S = 0.05
+# Waiting requests for each place of this process.
+_QUEUE_PER_PLACE = 0.8
+_LEAST_QUEUE = 6
+
+
+@unique
+class Refusal(Enum):
+    """Say why a request gets no place."""
+
+    # More urgent work takes all places that will become free in time.
+    OVERLOADED = "overloaded"
+    NO_UPSTREAM = "no_upstream"
+    # The caller or the route waits no longer.
+    OUT_OF_TIME = "out_of_time"
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceRequest:
+    """Ask for a place at an upstream of a service."""
+
+    ticket: TicketId
+    service: ServiceName
+    priority: int
+    arrived: float
+    deadline: Deadline
+    target_latency_s: float
+    target_pause_s: float
+    excluded: frozenset[str] = frozenset()
+    # A stream that goes on at another upstream holds a place already.
+    is_continuation: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Grant a place; the figures behind it go into the log."""
+
+    upstream: UpstreamEntry
+    # Requests of all processes at the upstream, as far as known.
+    in_flight: int
+    service_in_flight: int
+    service_limit: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Refuse a place, with the seconds after which a new request may get one."""
+
+    reason: Refusal
+    retry_after_s: float
+    waiting: int
+    service_in_flight: int
+    service_limit: float
+
+
+@dataclass(slots=True)
+class ServiceLoad:
+    """Hold what runs and waits for one service."""
+
+    profile: ServiceProfile
+    model: PassModel | None
+    waiting: list[PlaceRequest] = field(default_factory=list)
+    allowed_pause_s: float = 0.0
+
+
+class PlaceBook:
+    """Count the requests at each upstream and give out free places."""
+
+    def __init__(self, clock: Clock, rng: Random, domain: FailureDomain) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._domain = domain
+        self._own: dict[str, int] = {}
+        self._others: Mapping[str, int] = {}
+        self._granted: dict[TicketId, tuple[ServiceName, str]] = {}
+        self._services: dict[ServiceName, ServiceLoad] = {}
+        self._processes = 1
+
+    @property
+    def own_in_flight(self) -> dict[str, int]:
+        """Return the requests of this process by upstream."""
+        return {id: count for id, count in self._own.items() if count > 0}
+
+    @property
+    def services(self) -> dict[ServiceName, ServiceLoad]:
+        """Return the load by service."""
+        return self._services
+
+    def configure(self, profiles: Mapping[ServiceName, ServiceProfile]) -> None:
+        """Adopt the services of a configuration."""
+        for name, profile in profiles.items():
+            known = self._services.get(name)
+            if known is not None and known.profile == profile:
+                continue
+            model = PassModel(self._clock, profile.engine) if profile.engine else None
+            waiting = known.waiting if known is not None else []
+            self._services[name] = ServiceLoad(profile, model, waiting)
+
+    def hear(self, others: Mapping[str, int], processes: int) -> None:
+        """Adopt the requests of the other processes by upstream."""
+        self._others = others
+        self._processes = max(1, processes)
+
+    def in_flight(self, upstream: str) -> int:
+        """Return the requests of all processes at an upstream, as far as known."""
+        return self._own.get(upstream, 0) + self._others.get(upstream, 0)
+
+    def observe_pause(
+        self, service: ServiceName, pause_s: float, upstreams: Sequence[UpstreamEntry]
+    ) -> None:
+        """Take in the pause between two events of a stream."""
+        load = self._services.get(service)
+        if load is None or load.model is None or not upstreams:
+            return
+        total = sum(self.in_flight(upstream.id) for upstream in upstreams)
+        load.model.observe(pause_s, total / len(upstreams))
+
+    def limit(self, service: ServiceName, upstreams: Sequence[UpstreamEntry]) -> float:
+        """Return the requests that the service may run at once."""
+        slots = sum(upstream.slots for upstream in upstreams)
+        load = self._services.get(service)
+        if load is None or load.model is None:
+            return slots + _QUEUED_AT_UPSTREAM * len(upstreams)
+        if load.allowed_pause_s <= 0:
+            return slots
+        per_rank = load.model.streams_per_rank(load.allowed_pause_s)
+        return min(slots, per_rank * len(upstreams))
+
+    def enqueue(self, request: PlaceRequest) -> None:
+        """Add a request to those that wait for a place."""
+        load = self._load(request.service)
+        if request.target_pause_s > 0:
+            load.allowed_pause_s = request.target_pause_s
+        load.waiting.append(request)
+
+    def release(self, ticket: TicketId) -> ServiceName | None:
+        """Give a place back, or end the wait for one; return the service."""
+        granted = self._granted.pop(ticket, None)
+        if granted is not None:
+            service, upstream = granted
+            self._own[upstream] -= 1
+            if self._own[upstream] <= 0:
+                del self._own[upstream]
+            return service
+        for service, load in self._services.items():
+            for index, request in enumerate(load.waiting):
+                if request.ticket == ticket:
+                    del load.waiting[index]
+                    return service
+        return None
+
+    def grant(
+        self, service: ServiceName, upstreams: Sequence[UpstreamEntry]
+    ) -> list[tuple[PlaceRequest, Place | Refused]]:
+        """Decide on the waiting requests, the most valuable first.
+
+        Requests that are not in the result go on waiting.
+        """
+        load = self._services.get(service)
+        if load is None:
+            return []
+        decided: list[tuple[PlaceRequest, Place | Refused]] = []
+        limit = self.limit(service, upstreams)
+        kept: list[PlaceRequest] = []
+        for request in sorted(load.waiting, key=self._rank):
+            place = self._find_place(request, upstreams, limit)
+            if place is not None:
+                self._take(request, place.upstream.id)
+                decided.append((request, place))
+            elif refused := self._refuse(request, upstreams, limit, len(kept)):
+                decided.append((request, refused))
+            else:
+                kept.append(request)
+        load.waiting[:] = kept
+        return decided
+
+    def _load(self, service: ServiceName) -> ServiceLoad:
+        load = self._services.get(service)
+        if load is None:
+            load = ServiceLoad(ServiceProfile(service, 0), None)
+            self._services[service] = load
+        return load
+
+    def _rank(self, request: PlaceRequest) -> tuple[bool, bool, int, float]:
+        late = self._clock.now() - request.arrived > request.target_latency_s
+        return (not request.is_continuation, late, request.priority, request.arrived)
+
+    def _find_place(
+        self, request: PlaceRequest, upstreams: Sequence[UpstreamEntry], limit: float
+    ) -> Place | None:
+        total = sum(self.in_flight(upstream.id) for upstream in upstreams)
+        reserved = min(_MOST_RESERVED, _RESERVED_PER_PRIORITY * request.priority)
+        share = 1.0 if request.is_continuation else 1.0 - reserved
+        load = self._services[request.service]
+        queued = 0 if load.model is not None else _QUEUED_AT_UPSTREAM
+        if total >= max(1.0, limit * share):
+            return None
+        # Upstreams that failed this request before are a last resort.
+        others = [u for u in upstreams if u.id not in request.excluded] or upstreams
+        free = [
+            (self._cost(upstream), upstream)
+            for upstream in others
+            if self.in_flight(upstream.id) < upstream.slots + queued
+        ]
+        if not free:
+            return None
+        _, best = min(free, key=lambda pair: pair[0])
+        return Place(best, self.in_flight(best.id), total, limit)
+
+    def _cost(self, upstream: UpstreamEntry) -> float:
+        elsewhere = upstream.failure_domain != self._domain
+        return (
+            self.in_flight(upstream.id)
+            + _OTHER_DOMAIN_COST * elsewhere
+            # Processes with the same view must not all choose the same upstream.
+            + self._rng.random()
+        )
+
+    def _take(self, request: PlaceRequest, upstream: str) -> None:
+        self._own[upstream] = self._own.get(upstream, 0) + 1
+        self._granted[request.ticket] = (request.service, upstream)
+
+    def _refuse(
+        self,
+        request: PlaceRequest,
+        upstreams: Sequence[UpstreamEntry],
+        limit: float,
+        ahead: int,
+    ) -> Refused | None:
+        now = self._clock.now()
+        left = remaining(self._clock, request.deadline)
+        places = max(1.0, limit / self._processes)
+        most_waiting = max(_LEAST_QUEUE, places * _QUEUE_PER_PLACE)
+        if left <= 0:
+            reason = Refusal.OUT_OF_TIME
+        elif now >= self._give_up_at(request):
+            reason = Refusal.OVERLOADED if upstreams else Refusal.NO_UPSTREAM
+        elif ahead >= most_waiting:
+            reason = Refusal.OVERLOADED
+        else:
+            return None
+        return Refused(
+            reason,
+            max(_LEAST_RETRY_AFTER_S, left * _RETRY_TIME_LEFT),
+            ahead,
+            sum(self.in_flight(upstream.id) for upstream in upstreams),
+            limit,
+        )
+
+    def _give_up_at(self, request: PlaceRequest) -> float:
+        whole = request.deadline - request.arrived
+        if request.target_pause_s > 0:
+            hold = request.target_latency_s * _HOLD_TARGETS
+            return request.arrived + min(hold, whole * _HOLD_TIME_LEFT)
+        return request.arrived + whole * _HOLD_TIME_LEFT
--- /dev/null
+++ b/packages/gateway/src/sardineyard/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: it forwards the requests of callers to upstreams."""
--- /dev/null
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -0,0 +1,289 @@
+"""One call to an upstream: connection, answer and events."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sardineyard.forwarding.config import Repetition
+from sardineyard.forwarding.events import EventParser, MalformedStreamError
+from sardineyard.gateway.attempts import CallOutcome
+from sardineyard.gateway.messages import CallEnded, CallResult, PauseSeen
+from sardineyard.httpio.call import CONNECT_TIMEOUT_S, BrokenAnswerError
+from sardineyard.httpio.fields import drop_connection_fields
+
+if TYPE_CHECKING:
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.mailbox import Mailbox
+    from sardineyard.forwarding.admission import Admitted
+    from sardineyard.forwarding.config import UpstreamEntry
+    from sardineyard.forwarding.events import EventSequence
+    from sardineyard.forwarding.messages import AnswerFacts, MessageCodec
+    from sardineyard.gateway.attempts import Progress
+    from sardineyard.gateway.connections import UpstreamConnections
+    from sardineyard.httpio.acceptor import Answer, IncomingRequest
+    from sardineyard.httpio.call import AnswerHead, CallConnection
+    from sardineyard.httpio.fields import HeaderList
+    from sardineyard.telemetry.gateway_metrics import GatewayMetrics
+
+_logger = logging.getLogger(__name__)
+
+# Answers of earlier requests that may lie in front of the expected one.
+_MAX_STRAY_ANSWERS = 2
+# A stream that is silent for longer is given up for another upstream. A group whose
+# rank is lost stalls for 1.5 s; callers give a stream up after 2 s.
+_SILENT_STREAM_S = 1.7
+_BROKEN = (OSError, BrokenAnswerError, MalformedStreamError)
+
+
+class CallerGoneError(Exception):
+    """Report that the answer cannot be delivered to the caller."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredFailure:
+    """Hold a whole failure of an upstream, to be passed on unchanged."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+class UpstreamCall:
+    """Send a request to one upstream and pass its answer on."""
+
+    def __init__(
+        self,
+        upstream: UpstreamEntry,
+        request: IncomingRequest,
+        answer: Answer,
+        admitted: Admitted,
+        headers: HeaderList,
+        progress: Progress,
+        events: EventSequence,
+        dispatcher: Mailbox[object],
+        codec: MessageCodec,
+        connections: UpstreamConnections,
+        clock: Clock,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._upstream = upstream
+        self._request = request
+        self._answer = answer
+        self._admitted = admitted
+        self._headers = headers
+        self._progress = progress
+        self._events = events
+        self._dispatcher = dispatcher
+        self._codec = codec
+        self._connections = connections
+        self._clock = clock
+        self._metrics = metrics
+        self._result = CallResult.ABANDONED
+        self._facts: AnswerFacts | None = None
+        self._reason = ""
+        self.failure: StoredFailure | None = None
+
+    async def run(self, head_timeout_s: float | None) -> CallOutcome:
+        """Make the call and return what is known about the request afterwards."""
+        began = self._clock.now()
+        outcome = CallOutcome.UNKNOWN
+        connection: CallConnection | None = None
+        try:
+            connection = await self._connect()
+            if connection is None:
+                outcome = CallOutcome.NOT_SENT
+            else:
+                outcome = await self._exchange(connection, head_timeout_s)
+        finally:
+            if connection is not None:
+                self._connections.give_back(self._upstream, connection)
+            self._report(outcome, self._clock.now() - began)
+        return outcome
+
+    async def _connect(self) -> CallConnection | None:
+        # An idle connection may have been closed by the upstream, which shows only
+        # after sending; calls that must not be repeated take a new one.
+        if self._admitted.route.repetition is not Repetition.AT_MOST_ONCE:
+            idle = self._connections.take_idle(self._upstream)
+            if idle is not None:
+                return idle
+        try:
+            return await self._connections.open(self._upstream, CONNECT_TIMEOUT_S)
+        except (OSError, TimeoutError) as error:
+            self._progress.unreachable += 1
+            self._ended(CallResult.UNREACHABLE, repr(error))
+            return None
+
+    async def _exchange(
+        self, connection: CallConnection, head_timeout_s: float | None
+    ) -> CallOutcome:
+        request = self._request
+        try:
+            connection.send(
+                request.method, request.target, self._headers, request.body
+            )
+        except OSError as error:
+            # The connection was closed before anything was written.
+            self._progress.unreachable += 1
+            self._ended(CallResult.BROKEN, repr(error))
+            return CallOutcome.NOT_SENT
+        progress = self._progress
+        progress.sent += 1
+        could_have_run = progress.may_have_run
+        progress.may_have_run = True
+        try:
+            async with asyncio.timeout(head_timeout_s):
+                head, facts = await self._receive_head(connection)
+        except TimeoutError:
+            connection.close()
+            self._ended(CallResult.TIMED_OUT, "no answer in time")
+            return CallOutcome.UNKNOWN
+        except _BROKEN as error:
+            connection.close()
+            self._ended(CallResult.BROKEN, repr(error))
+            return CallOutcome.UNKNOWN
+        self._facts = facts
+        if facts.is_not_run:
+            progress.may_have_run = could_have_run
+            await self._skip_body(connection)
+            is_other = facts.status == 421
+            self._ended(CallResult.MISDIRECTED if is_other else CallResult.REJECTED)
+            return CallOutcome.NOT_RUN
+        try:
+            return await self._pass_on(connection, head, facts)
+        except TimeoutError:
+            connection.close()
+            self._ended(CallResult.TIMED_OUT, "the stream is silent")
+        except _BROKEN as error:
+            connection.close()
+            self._ended(CallResult.BROKEN, repr(error))
+        return CallOutcome.UNKNOWN
+
+    async def _receive_head(
+        self, connection: CallConnection
+    ) -> tuple[AnswerHead, AnswerFacts]:
+        expected = self._admitted.facts.request_id
+        for _ in range(_MAX_STRAY_ANSWERS + 1):
+            head = await connection.receive_head()
+            facts = self._codec.read_answer(head.status, head.headers)
+            if facts.request_id in (expected, ""):
+                return head, facts
+            await connection.receive_body()
+            connection.expect_another_answer()
+        raise BrokenAnswerError("only answers of other requests")
+
+    async def _pass_on(
+        self, connection: CallConnection, head: AnswerHead, facts: AnswerFacts
+    ) -> CallOutcome:
+        if not facts.is_success:
+            body = await connection.receive_body()
+            self._ended(CallResult.FAILED, f"status {facts.status}")
+            if not facts.is_sealed:
+                return CallOutcome.UNKNOWN
+            self.failure = StoredFailure(facts.status, head.headers, body)
+            return CallOutcome.FAILED
+        if not facts.is_sealed or facts.is_encoded or not facts.request_id:
+            raise BrokenAnswerError("a success that is not the upstream's own")
+        if self._admitted.route.is_stream:
+            await self._pass_stream(connection, head)
+        else:
+            body = await connection.receive_body()
+            self._first_byte()
+            await self._to_caller(
+                self._answer.send(
+                    head.status, drop_connection_fields(head.headers), body
+                )
+            )
+        self._ended(CallResult.ANSWERED)
+        return CallOutcome.DELIVERED
+
+    async def _pass_stream(self, connection: CallConnection, head: AnswerHead) -> None:
+        parser = EventParser()
+        last_at = None
+        while True:
+            silence_s = _SILENT_STREAM_S if last_at is not None else None
+            async with asyncio.timeout(silence_s):
+                piece = await connection.receive_piece()
+            if piece is None:
+                break
+            events = [e for e in parser.feed(piece) if self._events.accept(e)]
+            if not events:
+                continue
+            now = self._clock.now()
+            if last_at is None:
+                await self._start_stream(head)
+            else:
+                self._pause(now - last_at)
+            last_at = now
+            self._progress.can_resume = self._events.last is not None
+            await self._to_caller(self._answer.write(b"".join(e.raw for e in events)))
+        if parser.has_partial_event:
+            raise BrokenAnswerError("the stream ended inside an event")
+        await self._start_stream(head)
+        await self._to_caller(self._answer.finish())
+
+    async def _start_stream(self, head: AnswerHead) -> None:
+        if self._answer.is_started:
+            return
+        self._first_byte()
+        self._progress.is_started = True
+        await self._to_caller(
+            self._answer.start(head.status, drop_connection_fields(head.headers))
+        )
+
+    def _first_byte(self) -> None:
+        waited_s = self._clock.now() - self._request.arrived
+        self._metrics.first_byte(self._admitted.priority, waited_s)
+
+    def _pause(self, seconds: float) -> None:
+        self._metrics.pause(self._admitted.priority, seconds)
+        self._dispatcher.offer(PauseSeen(self._admitted.service, seconds))
+
+    async def _to_caller(self, writing: object) -> None:
+        try:
+            await writing  # type: ignore[misc]
+        except (OSError, TimeoutError) as error:
+            raise CallerGoneError(repr(error)) from None
+
+    async def _skip_body(self, connection: CallConnection) -> None:
+        try:
+            await connection.receive_body()
+        except _BROKEN:
+            # The head alone carries the promise; the connection is of no more use.
+            connection.close()
+
+    def _ended(self, result: CallResult, reason: str = "") -> None:
+        self._result, self._reason = result, reason
+
+    def _report(self, outcome: CallOutcome, seconds: float) -> None:
+        facts = self._facts
+        self._dispatcher.offer(
+            CallEnded(
+                self._admitted.service,
+                self._upstream.id,
+                self._result,
+                seconds,
+                facts.load if facts else None,
+            )
+        )
+        is_good = self._result is CallResult.ANSWERED
+        _logger.log(
+            logging.INFO if is_good else logging.WARNING,
+            "a call to an upstream ended",
+            extra={
+                "event": "call_answered" if is_good else "call_failed",
+                "request_id": self._admitted.facts.request_id,
+                "upstream": self._upstream.id,
+                "result": self._result.value,
+                "outcome": outcome.value,
+                "status": facts.status if facts else None,
+                "faulty_upstream": facts.faulty_upstream if facts else "",
+                "events": self._events.count,
+                "reason": self._reason,
+                "config_version": self._admitted.config_version,
+                "call_ms": round(seconds * 1000, 1),
+            },
+        )
--- /dev/null
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -0,0 +1,224 @@
+"""The gateway daemon: its tasks and how they are connected."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from random import Random
+from typing import TYPE_CHECKING
+
+from grpclib.server import Server
+
+from sardineyard.catalog.follower import (
+    StoreContact,
+    follow_config,
+    follow_upstreams,
+)
+from sardineyard.catalog.keeper import CatalogKeeper
+from sardineyard.catalog.messages import DumpCatalog
+from sardineyard.catalog.peers import NewsCodec, PeerExchange, PeerService
+from sardineyard.core.ids import FailureDomain
+from sardineyard.core.mailbox import Reply
+from sardineyard.core.states import ProcessState
+from sardineyard.core.tasks import TaskSet
+from sardineyard.daemon.admin import AdminServer
+from sardineyard.forwarding.budget import BudgetRules
+from sardineyard.forwarding.config import FrontLimits
+from sardineyard.gateway.connections import UpstreamConnections
+from sardineyard.gateway.dispatcher import Dispatcher
+from sardineyard.gateway.forwarder import Forwarder
+from sardineyard.gateway.messages import DumpGateway
+from sardineyard.httpio.acceptor import Acceptor, AcceptLimits
+from sardineyard.httpio.messages import HttpLimits
+from sardineyard.httpio.server import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.errors import ErrorKind
+    from sardineyard.forwarding.messages import MessageCodec
+    from sardineyard.forwarding.source import CatalogStore
+    from sardineyard.httpio.exchange import Exchange
+    from sardineyard.httpio.messages import HttpRequest
+    from sardineyard.settings.gateway import GatewaySettings
+    from sardineyard.telemetry.gateway_metrics import GatewayMetrics
+
+_logger = logging.getLogger(__name__)
+
+# A watch is asked for anew this often, so that a connection that went silent is
+# noticed before a change has to be in force.
+_WATCH_S = 3.0
+_OLD_CONNECTIONS_S = 1.0
+# The platform asks once a second whether a gateway is ready and sends no more callers
+# after two refusals; until then new connections are served.
+_LEAVE_ROTATION_S = 2.5
+# Time before the platform's SIGKILL that is left for the exit.
+_EXIT_MARGIN_S = 0.7
+
+
+class GatewayDaemon:
+    """Run the tasks of one gateway."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        store: CatalogStore,
+        codec: MessageCodec,
+        metrics: GatewayMetrics,
+        reload_seeds: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._store = store
+        self._metrics = metrics
+        self._reload_seeds = reload_seeds
+        self._state = ProcessState.STARTING
+        self._tasks = TaskSet()
+        self._rng = Random()
+        own_address = str(settings.peer_address)
+        self._keeper = CatalogKeeper(store, clock, own_address)
+        self._dispatcher = Dispatcher(
+            clock,
+            self._rng,
+            FailureDomain(settings.failure_domain),
+            BudgetRules(
+                settings.repeat_ratio, settings.repeat_extra, settings.repeat_window_s
+            ),
+            metrics,
+        )
+        self._keeper.subscribe(self._dispatcher.mailbox)
+        self._exchange = PeerExchange(
+            self._keeper.mailbox,
+            own_address,
+            tuple(map(str, settings.seed_peers)),
+            clock,
+            self._rng,
+            self._dispatcher.in_flight,
+        )
+        self._exchange.subscribe(self._dispatcher.mailbox)
+        self._connections = UpstreamConnections(clock)
+        self._forwarder = Forwarder(
+            lambda: self._keeper.config,
+            self._dispatcher.mailbox,
+            codec,
+            self._connections,
+            clock,
+            self._rng,
+            metrics,
+        )
+        self._callers = Acceptor(
+            settings.caller_address,
+            self._forwarder.handle,
+            self._forwarder.refuse,
+            self._limits,
+            settings.max_connections,
+        )
+        self._peers = Server(
+            [PeerService(self._keeper.mailbox, self._exchange)], codec=NewsCodec()
+        )
+        self._readiness = HttpServer(
+            settings.ready_address, self._answer_ready, _refuse_bad, HttpLimits()
+        )
+        self._admin = AdminServer(
+            settings.admin_address, self._is_ready, self._dump, self._render_metrics
+        )
+
+    async def start(self) -> None:
+        """Start the tasks and listen."""
+        self._tasks.start("catalog", self._keeper.run())
+        self._tasks.start("dispatcher", self._dispatcher.run())
+        mailbox = self._keeper.mailbox
+        for name, follow in (
+            ("config", follow_config),
+            ("upstreams", follow_upstreams),
+        ):
+            contact = StoreContact(name, self._clock, self._rng)
+            self._tasks.start(name, follow(self._store, mailbox, contact, _WATCH_S))
+        address = self._settings.peer_address
+        await self._peers.start(address.host, address.port)
+        self._tasks.start("peers", self._exchange.run())
+        self._tasks.start("connections", self._drop_old_connections())
+        await self._callers.start()
+        await self._readiness.start()
+        await self._admin.start()
+        self._state = ProcessState.SERVING
+
+    def reload(self) -> None:
+        """Read the settings again; only the seeds may change in a running process."""
+        seeds = self._reload_seeds()
+        if seeds:
+            self._exchange.use_seeds(seeds)
+
+    async def drain(self) -> None:
+        """Leave the rotation and return when the open requests have ended."""
+        self._state = ProcessState.DRAINING
+        end = self._clock.now() + self._settings.drain_timeout_s - _EXIT_MARGIN_S
+        self._callers.close_after_answers()
+        await asyncio.sleep(min(_LEAVE_ROTATION_S, self._settings.drain_timeout_s / 3))
+        self._callers.stop_listening()
+        while self._callers.open_connections and self._clock.now() < end:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+    async def close(self) -> list[str]:
+        """End all tasks and return the ids of the requests that were cut."""
+        cut = [str(request) for request in self._forwarder.open_requests]
+        await self._callers.close()
+        self._connections.close()
+        await self._readiness.close()
+        await self._admin.close()
+        self._peers.close()
+        await self._tasks.cancel_all()
+        return cut
+
+    async def wait_failed(self) -> None:
+        """Return when a task has failed."""
+        await self._tasks.wait_failed()
+
+    def _limits(self) -> AcceptLimits:
+        config = self._keeper.config
+        limits = FrontLimits() if config is None else config.limits
+        return AcceptLimits(
+            limits.max_head_bytes,
+            limits.max_body_bytes,
+            limits.head_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+    def _is_ready(self) -> bool:
+        return self._state is ProcessState.SERVING and self._keeper.is_ready
+
+    async def _answer_ready(self, request: HttpRequest, exchange: Exchange) -> None:
+        await exchange.send(200 if self._is_ready() else 503, {})
+
+    async def _drop_old_connections(self) -> None:
+        while True:
+            await asyncio.sleep(_OLD_CONNECTIONS_S)
+            self._connections.drop_old()
+
+    async def _dump(self) -> object:
+        catalog: Reply[object] = Reply()
+        gateway: Reply[object] = Reply()
+        self._keeper.mailbox.post(DumpCatalog(catalog))  # type: ignore[arg-type]
+        self._dispatcher.mailbox.post(DumpGateway(gateway))  # type: ignore[arg-type]
+        return {
+            "process": self._settings.process,
+            "state": self._state.value,
+            "peers": self._exchange.alive,
+            "open_requests": self._forwarder.open_requests,
+            "catalog": await catalog.wait(),
+            "gateway": await gateway.wait(),
+        }
+
+    async def _render_metrics(self) -> tuple[dict[str, str], bytes]:
+        config = self._keeper.config
+        self._metrics.process_state(self._state)
+        self._metrics.document_in_force(0 if config is None else config.version)
+        self._metrics.connections("callers", self._callers.open_connections)
+        self._metrics.connections("upstreams_idle", self._connections.idle_count)
+        return self._metrics.render()
+
+
+async def _refuse_bad(kind: ErrorKind, detail: str, exchange: Exchange) -> None:
+    await exchange.send(400, {})
--- /dev/null
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -0,0 +1,103 @@
+"""Messages to the task that gives out places."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sardineyard.core.ids import Fingerprint, RequestId, ServiceName
+    from sardineyard.core.mailbox import Reply
+    from sardineyard.forwarding.messages import UpstreamLoad
+    from sardineyard.forwarding.places import (
+        Place,
+        PlaceRequest,
+        Refused,
+        TicketId,
+    )
+    from sardineyard.gateway.state import GatewayDump
+
+
+@unique
+class CallResult(Enum):
+    """Say how a call to an upstream ended, as far as its health is concerned."""
+
+    ANSWERED = "answered"
+    # Nothing listened, or the connection could not be opened in time.
+    UNREACHABLE = "unreachable"
+    # The connection ended, or the bytes were no answer.
+    BROKEN = "broken"
+    # The upstream answered with a failure of its own.
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+    REJECTED = "rejected"
+    # Another upstream has the address.
+    MISDIRECTED = "misdirected"
+    # The caller left, which says nothing about the upstream.
+    ABANDONED = "abandoned"
+
+
+@dataclass(frozen=True, slots=True)
+class AskPlace:
+    """Ask for a place at an upstream."""
+
+    request_id: RequestId
+    request: PlaceRequest
+    reply: Reply[Place | Refused]
+
+
+@dataclass(frozen=True, slots=True)
+class ReleasePlace:
+    """Give a place back, or stop waiting for one."""
+
+    ticket: TicketId
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    """Report how a call to an upstream ended."""
+
+    service: ServiceName
+    upstream: str
+    result: CallResult
+    seconds: float
+    load: UpstreamLoad | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PauseSeen:
+    """Report the pause between two events of a stream."""
+
+    service: ServiceName
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class AskRepeat:
+    """Ask whether a request may be sent to a further upstream."""
+
+    service: ServiceName
+    reply: Reply[bool]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """Count a request of a caller for a service."""
+
+    service: ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class AskSuspect:
+    """Ask whether a request has crashed too many upstreams to be run again."""
+
+    fingerprint: Fingerprint
+    reply: Reply[bool]
+
+
+@dataclass(frozen=True, slots=True)
+class DumpGateway:
+    """Ask for the state of the dispatcher."""
+
+    reply: Reply[GatewayDump]
--- /dev/null
+++ b/packages/httpio/src/sardineyard/httpio/link.py
@@ -0,0 +1,142 @@
+"""A socket whose owner sees its end even while it is not reading."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, cast
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.core.address import Address
+
+_READ_HIGH_WATER_BYTES = 65_536
+_WRITE_HIGH_WATER_BYTES = 65_536
+
+
+class SocketLink(asyncio.Protocol):
+    """Keep the received bytes of one socket until its owner takes them."""
+
+    def __init__(self, connected: Callable[[SocketLink], None] | None = None) -> None:
+        self._connected = connected
+        self._transport: asyncio.Transport | None = None
+        self._received = bytearray()
+        self._error: Exception | None = None
+        self._at_end = False
+        self._lost = False
+        self._readable = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self.ended = asyncio.Event()
+
+    @property
+    def has_input(self) -> bool:
+        """Return whether bytes, or the end, wait to be received."""
+        return bool(self._received) or self._at_end
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether both directions are open."""
+        return self._transport is not None and not self.ended.is_set()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of written bytes that the system has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    async def receive(self) -> bytes:
+        """Wait for bytes; nothing means the end.
+
+        Raises ConnectionError when the connection was reset.
+        """
+        while not self.has_input:
+            self._readable.clear()
+            await self._readable.wait()
+        if self._received:
+            data = bytes(self._received)
+            self._received.clear()
+            if self._transport is not None and not self.ended.is_set():
+                self._transport.resume_reading()
+            return data
+        if self._error is not None:
+            raise ConnectionResetError(str(self._error))
+        return b""
+
+    def write(self, data: bytes) -> None:
+        """Write bytes without waiting."""
+        if self._transport is None or self._transport.is_closing():
+            raise ConnectionResetError("the connection is closed")
+        if data:
+            self._transport.write(data)
+
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until most written bytes are sent; raise TimeoutError, ConnectionError.
+
+        Returns at once below the high-water mark.
+        """
+        if not self._writable.is_set():
+            async with asyncio.timeout(timeout_s):
+                await self._writable.wait()
+        if self._lost:
+            raise ConnectionResetError("the connection is lost")
+
+    def close(self) -> None:
+        """Close the socket after the written bytes were sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close the socket at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over the transport (called by asyncio)."""
+        self._transport = cast("asyncio.Transport", transport)
+        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
+        if self._connected is not None:
+            self._connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep received bytes (called by asyncio)."""
+        self._received += data
+        if len(self._received) > _READ_HIGH_WATER_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+        self._readable.set()
+
+    def eof_received(self) -> bool:
+        """Note the end of the input (called by asyncio)."""
+        self._end()
+        # The transport stays open, so that an answer in progress can be sent.
+        return True
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note the loss of the connection (called by asyncio)."""
+        if not self._at_end:
+            self._error = error
+        self._lost = True
+        self._end()
+        self._writable.set()
+
+    def pause_writing(self) -> None:
+        """Note that the peer reads too slowly (called by asyncio)."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Note that the peer has caught up (called by asyncio)."""
+        self._writable.set()
+
+    def _end(self) -> None:
+        self._at_end = True
+        self._readable.set()
+        self.ended.set()
+
+
+async def connect(address: Address, timeout_s: float) -> SocketLink:
+    """Connect to an address; raise OSError or TimeoutError."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_s):
+        _, link = await loop.create_connection(SocketLink, address.host, address.port)
+    return link
--- a/packages/settings/src/sardineyard/settings/parsers.py
+++ b/packages/settings/src/sardineyard/settings/parsers.py
@@ -61,3 +61,27 @@
         return text
 
     return parse
+
+
+def count(text: str) -> int:
+    """Parse a whole number above zero."""
+    value = int(text)
+    if value < 1:
+        raise ValueError("not above zero")
+    return value
+
+
+def amount(text: str) -> float:
+    """Parse a number of at least zero."""
+    value = float(text)
+    if not 0 <= value < float("inf"):
+        raise ValueError("below zero")
+    return value
+
+
+def fraction(text: str) -> float:
+    """Parse a number from 0 to 1."""
+    value = amount(text)
+    if value > 1:
+        raise ValueError("above 1")
+    return value
--- a/packages/telemetry/src/sardineyard/telemetry/logs.py
+++ b/packages/telemetry/src/sardineyard/telemetry/logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from sardineyard.telemetry.lines import LineLimit, NonBlockingLines
+
 if TYPE_CHECKING:
     from sardineyard.core.errors import ErrorKind
     from sardineyard.core.ids import RequestId
@@ -62,3 +64,14 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
+
+
+def configure_output_logs(process: str, level: str) -> NonBlockingLines:
+    """Write a bounded number of JSON lines to standard output."""
+    handler = NonBlockingLines(sys.stdout.fileno())
+    handler.setFormatter(JsonLineFormatter(process))
+    handler.addFilter(LineLimit())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    return handler
