Level the expert map of a group from beside its runners

Cause: the most loaded rank stood at 3.58 times the mean, so passes took three times as long as with a level map. Ruled out: machines and processor (0.09 cores a gateway). Change: a rebalancer beside each runner; one of them reads the ranks, plans a layout within places and spare places, and switches it behind a held step.

--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -30,10 +30,9 @@
 
 EXCHANGE_METHOD = "/sardineyard.catalog.Peers/Exchange"
 
-# Pause between rounds and peers asked in each: with ten processes each pair talks
-# about seven times a second, which keeps the view of their load younger than 150 ms.
-_ROUND_S = 0.1
-_PEERS_PER_ROUND = 3
+# Peers asked in each round: with ten gateways and five rounds a second each pair talks
+# twice a second, for 1% of a core.
+_PEERS_PER_ROUND = 2
 _CALL_TIMEOUT_S = 0.6
 # A peer that stays silent this long is no longer counted; its requests are gone or
 # its view of the fleet is.
@@ -114,12 +113,14 @@
         clock: Clock,
         rng: Random,
         in_flight: Callable[[], dict[str, int]],
+        round_s: float,
     ) -> None:
         self._keeper = keeper
         self._own_address = own_address
         self._clock = clock
         self._rng = rng
         self._in_flight = in_flight
+        self._round_s = round_s
         self._seeds = seeds
         self._peers: dict[str, _Peer] = {}
         self._order: list[str] = []
@@ -171,7 +172,7 @@
                 for peer in self._next_peers():
                     self._start(peer)
                 self._publish()
-                await asyncio.sleep(_ROUND_S * self._rng.uniform(0.8, 1.2))
+                await asyncio.sleep(self._round_s * self._rng.uniform(0.8, 1.2))
         finally:
             for peer in self._peers.values():
                 _close(peer)
--- a/packages/experts/src/sardineyard/experts/refine.py
+++ b/packages/experts/src/sardineyard/experts/refine.py
@@ -4,12 +4,14 @@
 
 import heapq
 from collections import Counter
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sardineyard.core.ids import ExpertIndex
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from sardineyard.core.ids import ExpertIndex
     from sardineyard.experts.maps import Placement
 
 # The potential is the sum of busy^_POWER: high enough that the busiest ranks
@@ -19,11 +21,24 @@
 # found no better placement with 64 ranks.
 _PARTNERS = 12
 _MAX_CHANGES = 200
+# Marks a slot of a rank that holds no expert.
+_EMPTY = ExpertIndex(-1)
 
 # A change sets slots: (rank, slot position, expert).
 _Change = tuple[tuple[int, int, "ExpertIndex"], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RefineLimits:
+    """Bound what a search may change and how widely it looks."""
+
+    # Slots of each rank; None where every slot of the placement is in use.
+    slots_per_rank: int | None = None
+    # Most experts that a rank may hold and did not hold before.
+    most_new_per_rank: int | None = None
+    partners: int = _PARTNERS
+
+
 class Refiner:
     """Exchange replicas between the busiest rank and others while that helps."""
 
@@ -32,15 +47,22 @@
         loads: Sequence[float],
         capacities: Sequence[float],
         placement: Placement,
+        limits: RefineLimits | None = None,
     ) -> None:
+        self._limits = limits or RefineLimits()
         self._loads = loads
         self._capacities = capacities
-        self._held = [list(experts) for experts in placement]
+        slots = self._limits.slots_per_rank or 0
+        self._held = [
+            [*experts, *[_EMPTY] * (slots - len(experts))] for experts in placement
+        ]
+        self._before = [frozenset(experts) for experts in placement]
         self._live = [rank for rank, speed in enumerate(capacities) if speed > 0]
         self._holders: dict[ExpertIndex, set[int]] = {}
         for rank, experts in enumerate(self._held):
             for expert in experts:
-                self._holders.setdefault(expert, set()).add(rank)
+                if expert != _EMPTY:
+                    self._holders.setdefault(expert, set()).add(rank)
         self._mean = sum(loads) / max(1e-12, sum(capacities))
         self._busy = [0.0] * len(self._held)
         for rank in self._live:
@@ -62,24 +84,45 @@
                 break
             self._apply(best)
             left -= len(best)
-        return tuple(tuple(experts) for experts in self._held)
+        return tuple(
+            tuple(expert for expert in experts if expert != _EMPTY)
+            for experts in self._held
+        )
 
     def _best_change(self, busiest: int, most_replicas: int) -> _Change | None:
         best, best_gain = None, 1e-9
         for change in self._candidates(busiest):
-            if len(change) <= most_replicas:
+            if len(change) <= most_replicas and self._is_loadable(change):
                 gain = self._gain(change) / len(change)
                 if gain > best_gain:
                     best, best_gain = change, gain
         return best
 
+    def _is_loadable(self, change: _Change) -> bool:
+        """Return whether no rank would get more new experts than it can load."""
+        most = self._limits.most_new_per_rank
+        if most is None:
+            return True
+        for rank, slot, expert in change:
+            if expert == _EMPTY or expert in self._before[rank]:
+                continue
+            kept = self._held[rank][:slot] + self._held[rank][slot + 1 :]
+            new = sum(e != _EMPTY and e not in self._before[rank] for e in kept)
+            if new + 1 > most:
+                return False
+        return True
+
     def _measure(self, rank: int) -> float:
-        load = sum(self._loads[e] / len(self._holders[e]) for e in self._held[rank])
+        load = sum(
+            self._loads[e] / len(self._holders[e])
+            for e in self._held[rank]
+            if e != _EMPTY
+        )
         return load / self._capacities[rank] / self._mean if self._mean else 0.0
 
     def _candidates(self, busiest: int) -> Iterator[_Change]:
         light = heapq.nsmallest(
-            _PARTNERS,
+            self._limits.partners,
             (rank for rank in self._live if rank != busiest),
             key=lambda rank: self._busy[rank],
         )
@@ -91,27 +134,27 @@
     def _swaps(self, busiest: int, rank: int) -> Iterator[_Change]:
         """Exchange one replica of the busiest rank with one of another rank."""
         for i, hot in enumerate(self._held[busiest]):
-            if rank in self._holders[hot]:
+            if hot == _EMPTY or rank in self._holders[hot]:
                 continue
             for j, cold in enumerate(self._held[rank]):
-                if busiest not in self._holders[cold]:
+                if cold == _EMPTY or busiest not in self._holders[cold]:
                     yield ((busiest, i, cold), (rank, j, hot))
 
     def _additions(self, busiest: int, rank: int) -> Iterator[_Change]:
         """Put one more replica of a hot expert in place of a spare replica."""
         for hot in self._held[busiest]:
-            if rank in self._holders[hot]:
+            if hot == _EMPTY or rank in self._holders[hot]:
                 continue
             for j, cold in enumerate(self._held[rank]):
-                if len(self._holders[cold]) > 1:
+                if cold == _EMPTY or len(self._holders[cold]) > 1:
                     yield ((rank, j, hot),)
 
     def _removals(self, busiest: int) -> Iterator[_Change]:
         """Replace a spare replica on the busiest rank by a less loaded expert."""
         shares = {e: self._loads[e] / len(h) for e, h in self._holders.items()}
-        light = heapq.nsmallest(_PARTNERS, shares, key=lambda e: shares[e])
+        light = heapq.nsmallest(self._limits.partners, shares, key=lambda e: shares[e])
         for i, hot in enumerate(self._held[busiest]):
-            if len(self._holders[hot]) > 1:
+            if hot != _EMPTY and len(self._holders[hot]) > 1:
                 for cold in light:
                     if busiest not in self._holders[cold]:
                         yield ((busiest, i, cold),)
@@ -124,7 +167,7 @@
             counts[self._held[rank][slot]] -= 1
         deltas: dict[int, float] = {}
         for expert, extra in counts.items():
-            if extra == 0:
+            if extra == 0 or expert == _EMPTY:
                 continue
             holders = self._holders[expert]
             load = self._loads[expert]
@@ -132,13 +175,14 @@
             for rank in holders:
                 deltas[rank] = deltas.get(rank, 0.0) + shift
         for rank, slot, expert in change:
+            delta = deltas.get(rank, 0.0)
+            if expert != _EMPTY:
+                holders_after = len(self._holders[expert]) + counts[expert]
+                delta += self._loads[expert] / holders_after
             old = self._held[rank][slot]
-            new_share = self._loads[expert] / (
-                len(self._holders[expert]) + counts[expert]
-            )
-            old_count = len(self._holders[old]) + counts[old]
-            deltas[rank] = deltas.get(rank, 0.0) + new_share
-            deltas[rank] -= self._loads[old] / old_count
+            if old != _EMPTY:
+                delta -= self._loads[old] / (len(self._holders[old]) + counts[old])
+            deltas[rank] = delta
         gain = 0.0
         for rank, delta in deltas.items():
             busy = self._busy[rank]
@@ -150,11 +194,14 @@
         touched: set[int] = set()
         for rank, slot, expert in change:
             old = self._held[rank][slot]
-            touched |= self._holders[old] | self._holders[expert]
-            self._holders[old].discard(rank)
+            for moved in (old, expert):
+                touched |= self._holders.get(moved, set())
+            if old != _EMPTY:
+                self._holders[old].discard(rank)
             self._held[rank][slot] = expert
         for rank, _, expert in change:
-            self._holders[expert].add(rank)
+            if expert != _EMPTY:
+                self._holders[expert].add(rank)
             touched.add(rank)
         for rank in touched:
             self._busy[rank] = self._measure(rank)
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -49,6 +49,7 @@
 # A watch is asked for anew this often, so that a connection that went silent is
 # noticed before a change has to be in force.
 _WATCH_S = 3.0
+_PEER_ROUND_S = 0.2
 _OLD_CONNECTIONS_S = 1.0
 # The platform asks once a second whether a gateway is ready and sends no more callers
 # after two refusals; until then new connections are served.
@@ -96,6 +97,7 @@
             clock,
             self._rng,
             self._dispatcher.in_flight,
+            _PEER_ROUND_S,
         )
         self._exchange.subscribe(self._dispatcher.mailbox)
         self._connections = UpstreamConnections(clock)
--- /dev/null
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -0,0 +1,406 @@
+"""The coordinator of a group: it reads the ranks, plans layouts and switches maps."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from sardineyard.core.ids import FencingNumber, Incarnation, RankIndex, UpstreamId
+from sardineyard.core.mailbox import Mailbox
+from sardineyard.experts.leveling import (
+    GroupShape,
+    is_whole,
+    layout_of_ranks,
+    level,
+    mean_skew,
+)
+from sardineyard.experts.load import LoadTracker
+from sardineyard.experts.maps import MapVersion
+from sardineyard.experts.switch import (
+    EpochEndedError,
+    FencedError,
+    MapSwitch,
+    SwitchResult,
+)
+from sardineyard.rebalancer.members import GroupMembers, Member, OwnMember
+from sardineyard.rebalancer.messages import GatherReply, GatherRequest, GroupDump
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.catalog.messages import CatalogChanged
+    from sardineyard.core.address import Address
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import ServiceName
+    from sardineyard.experts.group import GroupRunner, Layout, RankReport
+    from sardineyard.experts.leveling import Leveling
+    from sardineyard.forwarding.config import EngineProfile, UpstreamEntry
+    from sardineyard.rebalancer.local_rank import LocalRank
+    from sardineyard.telemetry.rebalancer_metrics import RebalancerMetrics
+
+_logger = logging.getLogger(__name__)
+
+# Pause between two readings of the group. What is popular shifts every few seconds,
+# and a reading costs each rank a millisecond.
+_ROUND_S = 0.25
+# Silence after which the coordinator is taken as gone, with a step for each rank, so
+# that the next one is the only one to take over. A held group stands still meanwhile.
+_TAKEOVER_S = 0.9
+_TAKEOVER_STEP_S = 0.2
+_TAKEOVER_STEPS = 8
+# A coordinator that was deposed leaves the group alone for this time.
+_DEPOSED_S = 3.0
+# Half-life of the popularity estimate: a few rounds, and less than popularity lasts.
+_HALF_LIFE_S = 0.5
+# Choices below which the estimate follows noise.
+_LEAST_CHOICES = 2_000.0
+# Ranks have a part of each fencing number to themselves.
+_FENCE_PER_TERM = 1 << 12
+# Distance to versions that a rank may have had and does not report.
+_VERSION_GAP = 16
+_LARGEST_TERM = 1 << 40
+
+
+class Coordinator:
+    """Level the map of the group, where no rebalancer of a lower rank does."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        own_host: str,
+        group_port: int,
+        local: LocalRank,
+        open_runner: Callable[[Address], GroupRunner],
+        clock: Clock,
+        metrics: RebalancerMetrics,
+    ) -> None:
+        self.mailbox: Mailbox[CatalogChanged] = Mailbox()
+        self._service = service
+        self._own_host = own_host
+        self._group_port = group_port
+        self._local = local
+        self._open_runner = open_runner
+        self._clock = clock
+        self._metrics = metrics
+        self._engine: EngineProfile | None = None
+        self._members: dict[str, Member | OwnMember] = {}
+        self._fence: FencingNumber | None = None
+        self._term = 0
+        self._deposed_until = 0.0
+        self._epoch = -1
+        self._layout: Layout | None = None
+        self._layout_version = MapVersion(-1)
+        self._last_version = 0
+        self._tracker: LoadTracker | None = None
+        self._skew = 0.0
+        self._changes = 0
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Return whether this process levels the group now."""
+        return self._fence is not None
+
+    def dump(self) -> GroupDump:
+        """Return what is known about the group."""
+        return GroupDump(
+            self.is_coordinator,
+            self._local.known_fence,
+            self._local.last_report,
+            round(self._skew, 3),
+            self._changes,
+        )
+
+    async def run(self) -> None:
+        """Level the group until cancelled."""
+        try:
+            while True:
+                self._take_news()
+                await self._round()
+                await asyncio.sleep(_ROUND_S)
+        finally:
+            for member in self._members.values():
+                member.close()
+
+    def _take_news(self) -> None:
+        while (news := self.mailbox.take()) is not None:
+            if news.config is not None:
+                profile = news.config.services.get(self._service)
+                self._engine = profile.engine if profile is not None else None
+            self._adopt_entries(news.upstreams.get(self._service, ()))
+
+    def _adopt_entries(self, entries: tuple[UpstreamEntry, ...]) -> None:
+        # Ranks whose entries are gone stay reachable until the group is formed anew.
+        for entry in entries:
+            known = self._members.get(entry.id)
+            if known is not None and known.entry.started_ms == entry.started_ms:
+                continue
+            if known is not None:
+                known.close()
+            if entry.host == self._own_host:
+                self._members[entry.id] = OwnMember(entry, self._local)
+            else:
+                self._members[entry.id] = Member(
+                    entry, self._group_port, self._open_runner, self._clock
+                )
+
+    async def _round(self) -> None:
+        if self._engine is None or self._engine.layer_sets == 0:
+            return
+        if not self.is_coordinator and not await self._take_over():
+            return
+        try:
+            await self._level_group(self._engine)
+        except FencedError as error:
+            self._step_down(str(error))
+        except EpochEndedError as error:
+            self._forget_group(str(error))
+
+    async def _take_over(self) -> bool:
+        """Become the coordinator if the last one is silent; return whether so."""
+        now = self._clock.now()
+        report = await self._local.refresh()
+        if report is None or not report.is_open or now < self._deposed_until:
+            return False
+        patience = _TAKEOVER_S + _TAKEOVER_STEP_S * min(report.rank, _TAKEOVER_STEPS)
+        if self._local.coordinator_silent_s < patience:
+            return False
+        known_term = self._local.known_fence // _FENCE_PER_TERM
+        self._term = max(self._term, known_term) + 1
+        self._fence = FencingNumber(self._term * _FENCE_PER_TERM + report.rank)
+        self._layout = None
+        _logger.info(
+            "this process coordinates the group now",
+            extra={
+                "event": "coordinator_started",
+                "fence": self._fence,
+                "silent_s": round(self._local.coordinator_silent_s, 3),
+                "rank": report.rank,
+                "epoch": report.epoch,
+            },
+        )
+        return True
+
+    async def _level_group(self, engine: EngineProfile) -> None:
+        fence = self._fence
+        assert fence is not None
+        gathered = await self._gather(fence, with_experts=self._layout is None)
+        group = self._whole_group(gathered)
+        if group is None:
+            return
+        reports = {rank: reply.report for rank, (_, reply) in group.items()}
+        first = next(iter(reports.values()))
+        assert first is not None
+        if first.epoch != self._epoch:
+            self._begin_epoch(first.epoch, engine)
+        shape = GroupShape(
+            len(group),
+            engine.layer_sets,
+            engine.experts,
+            engine.places_per_rank,
+            engine.spare_places,
+        )
+        if not self._learn_layout(shape, group):
+            return
+        members = {rank: member for rank, (member, _) in group.items()}
+        switch = MapSwitch(
+            GroupMembers(members, self._epoch, fence), self._clock, self._epoch
+        )
+        if await self._finish_leftover(switch, reports):
+            return
+        self._observe(group)
+        await self._improve(switch, shape, reports)
+
+    async def _gather(
+        self, fence: FencingNumber, *, with_experts: bool
+    ) -> list[tuple[Member | OwnMember, GatherReply]]:
+        members = list(self._members.values())
+        request = GatherRequest(fence, with_counts=True, with_experts=with_experts)
+        replies = await asyncio.gather(*(member.gather(request) for member in members))
+        return list(zip(members, replies, strict=True))
+
+    def _whole_group(
+        self, gathered: list[tuple[Member | OwnMember, GatherReply]]
+    ) -> dict[RankIndex, tuple[Member | OwnMember, GatherReply]] | None:
+        """Return the members of the own group by rank, if all are there."""
+        own = next(
+            (r.report for m, r in gathered if isinstance(m, OwnMember)), None
+        )
+        if own is None or not own.is_open:
+            return None
+        group = {}
+        for member, reply in gathered:
+            report = reply.report
+            if report is None or report.group != own.group:
+                continue
+            if report.epoch == own.epoch and report.is_open:
+                group[report.rank] = (member, reply)
+        if len(group) != own.size:
+            _logger.info(
+                "the group is not whole, its map stays",
+                extra={
+                    "event": "group_incomplete",
+                    "found": len(group),
+                    "size": own.size,
+                    "epoch": own.epoch,
+                },
+            )
+            return None
+        return dict(sorted(group.items()))
+
+    def _begin_epoch(self, epoch: int, engine: EngineProfile) -> None:
+        _logger.info(
+            "the group is formed",
+            extra={
+                "event": "group_formed",
+                "epoch": epoch,
+                "previous_epoch": self._epoch,
+            },
+        )
+        self._epoch = epoch
+        self._layout = None
+        self._tracker = LoadTracker(
+            self._clock,
+            engine.layer_sets * engine.experts,
+            _HALF_LIFE_S,
+            _LEAST_CHOICES,
+        )
+
+    def _learn_layout(
+        self,
+        shape: GroupShape,
+        group: dict[RankIndex, tuple[Member | OwnMember, GatherReply]],
+    ) -> bool:
+        """Return whether the layout in use is known."""
+        versions = {
+            reply.report.version for _, reply in group.values() if reply.report
+        }
+        if self._layout is not None and versions == {self._layout_version}:
+            return True
+        lists = [reply.experts for _, reply in group.values()]
+        same = {part.version for part in lists if part is not None}
+        if None in lists or len(same) != 1:
+            # Between two steps of a switch, or lists were not asked for yet.
+            self._layout = None
+            return False
+        layout = layout_of_ranks(shape, [part.experts for part in lists if part])
+        if not is_whole(shape, layout):
+            _logger.warning(
+                "the ranks report a map that lacks experts",
+                extra={"event": "layout_incomplete", "epoch": self._epoch},
+            )
+            return False
+        self._layout, self._layout_version = layout, same.pop()
+        return True
+
+    async def _finish_leftover(
+        self, switch: MapSwitch, reports: dict[RankIndex, RankReport | None]
+    ) -> bool:
+        present = {rank: report for rank, report in reports.items() if report}
+        if all(r.held_step is None and r.armed is None for r in present.values()):
+            return False
+        assert self._layout is not None
+        result = await switch.finish(present, self._layout)
+        if result is not SwitchResult.NOTHING_TO_DO:
+            self._log_change(result, None)
+            self._layout = None
+        return True
+
+    def _observe(
+        self, group: dict[RankIndex, tuple[Member | OwnMember, GatherReply]]
+    ) -> None:
+        assert self._tracker is not None
+        for rank, (_, reply) in group.items():
+            counts, report = reply.counts, reply.report
+            if counts is None or report is None:
+                continue
+            if len(counts.counts) == len(self._tracker.loads):
+                self._tracker.observe(
+                    UpstreamId(str(rank)),
+                    Incarnation(report.started_ms),
+                    counts.counts,
+                )
+
+    async def _improve(
+        self,
+        switch: MapSwitch,
+        shape: GroupShape,
+        reports: dict[RankIndex, RankReport | None],
+    ) -> None:
+        assert self._tracker is not None
+        assert self._layout is not None
+        loads = self._tracker.loads
+        if sum(loads) < _LEAST_CHOICES:
+            return
+        self._skew = mean_skew(shape, self._layout, loads)
+        self._metrics.skew(self._skew)
+        planned = level(shape, self._layout, loads)
+        if planned is None or not planned.is_worth_it:
+            return
+        version = self._next_version(reports)
+        holder = next(
+            rank
+            for rank, member in reports.items()
+            if member is not None and self._is_own(member)
+        )
+        result = await switch.change(version, planned.layout, self._layout, holder)
+        self._log_change(result, planned)
+        if result is SwitchResult.SWITCHED:
+            self._layout, self._layout_version = planned.layout, version
+            self._changes += 1
+        elif result is SwitchResult.NOT_PREPARED:
+            self._last_version += _VERSION_GAP
+        else:
+            self._layout = None
+
+    def _is_own(self, report: RankReport) -> bool:
+        own = self._local.last_report
+        return own is not None and own.rank == report.rank
+
+    def _next_version(
+        self, reports: dict[RankIndex, RankReport | None]
+    ) -> MapVersion:
+        seen = max(
+            max(report.version, report.prepared or 0, report.armed or 0)
+            for report in reports.values()
+            if report is not None
+        )
+        self._last_version = max(seen, self._last_version) + 1
+        return MapVersion(self._last_version)
+
+    def _step_down(self, reason: str) -> None:
+        _logger.info(
+            "another process coordinates the group",
+            extra={
+                "event": "coordinator_stopped",
+                "fence": self._fence,
+                "reason": reason,
+            },
+        )
+        # The next number has to exceed one that is not known here.
+        self._term = min(_LARGEST_TERM, self._term * 2)
+        self._fence = None
+        self._layout = None
+        self._deposed_until = self._clock.now() + _DEPOSED_S
+
+    def _forget_group(self, reason: str) -> None:
+        _logger.info(
+            "the group is formed anew, its change of the map is void",
+            extra={"event": "epoch_ended", "epoch": self._epoch, "reason": reason},
+        )
+        self._layout = None
+
+    def _log_change(self, result: SwitchResult, planned: Leveling | None) -> None:
+        self._metrics.map_change(result.value)
+        _logger.info(
+            "a change of the expert map ended",
+            extra={
+                "event": "map_change",
+                "result": result.value,
+                "epoch": self._epoch,
+                "fence": self._fence,
+                "skew_before": round(planned.skew_before, 3) if planned else None,
+                "skew_planned": round(planned.skew_after, 3) if planned else None,
+                "copies": planned.copies if planned else None,
+            },
+        )
--- /dev/null
+++ b/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
@@ -0,0 +1,130 @@
+"""The task that owns the connection to the runner beside this process."""
+
+from __future__ import annotations
+
+import logging
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from sardineyard.core.ids import FencingNumber
+from sardineyard.core.mailbox import Mailbox
+from sardineyard.experts.group import OrderResult
+from sardineyard.rebalancer.messages import (
+    GatherAsked,
+    GatherReply,
+    OrderAsked,
+    OrderReply,
+)
+
+if TYPE_CHECKING:
+    from sardineyard.core.clock import Clock
+    from sardineyard.experts.group import GroupRunner, RankReport
+    from sardineyard.rebalancer.messages import OrderRequest
+
+_logger = logging.getLogger(__name__)
+
+
+class LocalRank:
+    """Read the runner and give it the orders of the newest coordinator."""
+
+    def __init__(self, runner: GroupRunner, clock: Clock) -> None:
+        self.mailbox: Mailbox[object] = Mailbox()
+        self._runner = runner
+        self._clock = clock
+        self._known_fence = FencingNumber(0)
+        self._heard_at = clock.now()
+        self._report: RankReport | None = None
+
+    @property
+    def known_fence(self) -> FencingNumber:
+        """Return the greatest number of a coordinator heard of."""
+        return self._known_fence
+
+    @property
+    def coordinator_silent_s(self) -> float:
+        """Return the seconds since the newest coordinator was last heard from."""
+        return self._clock.now() - self._heard_at
+
+    @property
+    def last_report(self) -> RankReport | None:
+        """Return what the rank said last."""
+        return self._report
+
+    async def refresh(self) -> RankReport | None:
+        """Ask the rank for its report."""
+        report = await self._runner.report()
+        if report is not None:
+            self._report = report
+        return report
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        try:
+            while True:
+                await self._handle(await self.mailbox.receive())
+        finally:
+            self._runner.close()
+
+    @singledispatchmethod
+    async def _handle(self, message: object) -> None:
+        raise TypeError(f"unexpected message {type(message).__name__}")
+
+    @_handle.register(GatherAsked)
+    async def _gather(self, message: GatherAsked) -> None:
+        request = message.request
+        if not self._accepts(request.fence):
+            message.reply.send(GatherReply(self._known_fence))
+            return
+        message.reply.send(
+            GatherReply(
+                self._known_fence,
+                await self.refresh(),
+                await self._runner.counts() if request.with_counts else None,
+                await self._runner.experts() if request.with_experts else None,
+            )
+        )
+
+    @_handle.register(OrderAsked)
+    async def _order(self, message: OrderAsked) -> None:
+        request = message.request
+        if not self._accepts(request.fence):
+            result = OrderResult.FENCED
+        else:
+            result = await self._runner.order(
+                request.order, request.epoch, request.fence
+            )
+        if not result.is_accepted:
+            _log_order(request, result, self._known_fence)
+        message.reply.send(OrderReply(result, self._known_fence))
+
+    def _accepts(self, fence: FencingNumber) -> bool:
+        if fence < self._known_fence:
+            return False
+        if fence > self._known_fence:
+            _logger.info(
+                "another coordinator levels the group",
+                extra={
+                    "event": "coordinator_changed",
+                    "fence": fence,
+                    "previous_fence": self._known_fence,
+                },
+            )
+        self._known_fence = fence
+        self._heard_at = self._clock.now()
+        return True
+
+
+def _log_order(
+    request: OrderRequest, result: OrderResult, known_fence: FencingNumber
+) -> None:
+    _logger.warning(
+        "an order to the runner was not accepted",
+        extra={
+            "event": "order_not_accepted",
+            "order": type(request.order).__name__,
+            "result": result.value,
+            "epoch": request.epoch,
+            "fence": request.fence,
+            "known_fence": known_fence,
+        },
+    )
--- /dev/null
+++ b/packages/rebalancer/src/sardineyard/rebalancer/messages.py
@@ -0,0 +1,82 @@
+"""Messages between rebalancers, and to the task that owns the runner."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sardineyard.core.ids import FencingNumber
+from sardineyard.experts.group import (
+    ArmMap,
+    DisarmMap,
+    HoldStep,
+    OrderResult,
+    PrepareMap,
+    RankCounts,
+    RankExperts,
+    RankReport,
+    ReleaseStep,
+)
+
+if TYPE_CHECKING:
+    from sardineyard.core.mailbox import Reply
+
+
+class GatherRequest(msgspec.Struct, frozen=True):
+    """Ask a rank for its state, in the name of the coordinator with a number."""
+
+    fence: FencingNumber
+    with_counts: bool = False
+    with_experts: bool = False
+
+
+class GatherReply(msgspec.Struct, frozen=True):
+    """Answer with the state; a greater known number deposes the sender."""
+
+    known_fence: FencingNumber
+    report: RankReport | None = None
+    counts: RankCounts | None = None
+    experts: RankExperts | None = None
+
+
+class OrderRequest(msgspec.Struct, frozen=True):
+    """Give an order to a rank."""
+
+    fence: FencingNumber
+    epoch: int
+    order: PrepareMap | ArmMap | DisarmMap | HoldStep | ReleaseStep
+
+
+class OrderReply(msgspec.Struct, frozen=True):
+    """Say what became of an order."""
+
+    result: OrderResult
+    known_fence: FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class GatherAsked:
+    """Pass a request for the state on to the owner of the runner."""
+
+    request: GatherRequest
+    reply: Reply[GatherReply]
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAsked:
+    """Pass an order on to the owner of the runner."""
+
+    request: OrderRequest
+    reply: Reply[OrderReply]
+
+
+class GroupDump(msgspec.Struct, frozen=True):
+    """Show what a rebalancer knows about its group."""
+
+    is_coordinator: bool
+    known_fence: int
+    report: RankReport | None
+    skew: float
+    changes: int
