Tell the load of gateways by datagrams and read the store less often

Change: beacons carry load and known versions, news is exchanged when one is behind, changes that come together are collected by a pause between watches.

--- a/packages/catalog/src/sardineyard/catalog/follower.py
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from sardineyard.catalog.messages import (
@@ -32,6 +33,19 @@
 _LAPSE_SUSPICION_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class WatchPace:
+    """Say how long to watch, and how long to pause after a change, in seconds."""
+
+    watch_s: float
+    pause_s: float
+    rng: Random
+
+    def next_watch_s(self) -> float:
+        """Return the time of the next watch, drawn so that processes differ."""
+        return self.watch_s * self.rng.uniform(0.7, 1.3)
+
+
 class StoreContact:
     """Keep track of failed calls of one task, and pause between them."""
 
@@ -85,7 +99,7 @@
     store: CatalogStore,
     mailbox: Mailbox[object],
     contact: StoreContact,
-    watch_s: float,
+    pace: WatchPace,
 ) -> None:
     """Send each new configuration to a mailbox until cancelled."""
     revision: int | None = None
@@ -99,11 +113,12 @@
                     continue
                 newest, revision = read, read.revision
             else:
-                changes = await store.watch_config(revision, watch_s)
+                changes = await store.watch_config(revision, pace.next_watch_s())
                 contact.succeeded()
                 newest, revision = changes.newest, max(revision, changes.revision)
             if newest is not None:
                 mailbox.offer(ConfigArrived(newest, "store"))
+                await asyncio.sleep(pace.pause_s)
         except StoreError as error:
             if error.failure is StoreFailure.HISTORY_LOST:
                 _log_history_lost("config", revision)
@@ -116,7 +131,7 @@
     store: CatalogStore,
     mailbox: Mailbox[object],
     contact: StoreContact,
-    watch_s: float,
+    pace: WatchPace,
 ) -> None:
     """Send the upstreams and their changes to a mailbox until cancelled."""
     revision: int | None = None
@@ -127,11 +142,14 @@
                 contact.succeeded()
                 mailbox.offer(UpstreamsListed(snapshot, contact.is_after_outage))
                 revision = snapshot.revision
+                await asyncio.sleep(pace.pause_s)
             else:
-                changes = await store.watch_upstreams(revision, watch_s)
+                changes = await store.watch_upstreams(revision, pace.next_watch_s())
                 contact.succeeded()
                 mailbox.offer(UpstreamsChanged(changes, contact.is_after_outage))
                 revision = max(revision, changes.revision)
+                if changes.changes:
+                    await asyncio.sleep(pace.pause_s)
         except StoreError as error:
             if error.failure is StoreFailure.HISTORY_LOST:
                 _log_history_lost("upstreams", revision)
--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -31,7 +31,7 @@
 
 _logger = logging.getLogger(__name__)
 
-# Lapsed entries run out between messages, so the view is made anew this often.
+# Lapsed entries run out between messages, so the view is then made anew this often.
 _EXPIRY_CHECK_S = 0.25
 
 
@@ -54,6 +54,11 @@
         """Return the configuration in force."""
         return None if self._config is None else self._config.config
 
+    @property
+    def versions(self) -> tuple[int, int]:
+        """Return the version of the configuration and the revision of the upstreams."""
+        return self._version, self._table.revision if self._is_complete else 0
+
     @property
     def is_ready(self) -> bool:
         """Return whether a configuration and a full list of upstreams are known."""
@@ -66,13 +71,12 @@
     async def run(self) -> None:
         """Handle messages until cancelled."""
         while True:
+            pause_s = _EXPIRY_CHECK_S if self._table.has_lapsed else None
             try:
-                async with asyncio.timeout(_EXPIRY_CHECK_S):
-                    message = await self.mailbox.receive()
+                async with asyncio.timeout(pause_s):
+                    self._handle(await self.mailbox.receive())
             except TimeoutError:
-                self._publish()
-                continue
-            self._handle(message)
+                pass
             self._publish()
 
     @singledispatchmethod
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -82,8 +82,6 @@
     address: str
     config_version: int
     upstream_revision: int
-    # Requests of the sender by upstream.
-    in_flight: dict[str, int] = {}
     # Other processes that the sender has heard from.
     members: tuple[str, ...] = ()
     # What the receiver lacks, by the versions that it sent.
@@ -96,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLoads:
-    """Tell subscribers the requests of the other processes by upstream."""
+    """Tell subscribers the requests of the other gateways by upstream."""
 
     in_flight: dict[str, int]
     processes: int
--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -13,7 +13,7 @@
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from sardineyard.catalog.messages import ExchangeDue, NewsReceived, PeerLoads, PeerNews
+from sardineyard.catalog.messages import ExchangeDue, NewsReceived, PeerNews
 from sardineyard.core.address import parse_address
 from sardineyard.core.mailbox import Reply
 
@@ -30,14 +30,11 @@
 
 EXCHANGE_METHOD = "/sardineyard.catalog.Peers/Exchange"
 
-# Peers asked in each round: with ten gateways and five rounds a second each pair talks
-# twice a second, for 1% of a core.
-_PEERS_PER_ROUND = 2
 _CALL_TIMEOUT_S = 0.6
-# A peer that stays silent this long is no longer counted; its requests are gone or
-# its view of the fleet is.
-_SILENT_S = 2.0
-# A peer that was never heard from is tried this often, and forgotten after a while.
+# A peer that was not heard from for this many rounds of all peers is taken as away; it
+# is then tried now and then, and forgotten after a while.
+_SILENT_ROUNDS = 2.5
+_LEAST_SILENT_S = 2.0
 _RETRY_S = 1.0
 _FORGET_S = 10.0
 _MAX_MEMBERS = 64
@@ -98,7 +95,6 @@
     heard_at: float = float("-inf")
     tried_at: float = float("-inf")
     known_since: float = 0.0
-    in_flight: dict[str, int] | None = None
     is_busy: bool = False
 
 
@@ -112,55 +108,49 @@
         seeds: tuple[str, ...],
         clock: Clock,
         rng: Random,
-        in_flight: Callable[[], dict[str, int]],
         round_s: float,
     ) -> None:
         self._keeper = keeper
         self._own_address = own_address
         self._clock = clock
         self._rng = rng
-        self._in_flight = in_flight
         self._round_s = round_s
         self._seeds = seeds
         self._peers: dict[str, _Peer] = {}
         self._order: list[str] = []
-        self._subscribers: list[Mailbox[object]] = []
         self._calls: set[asyncio.Task[None]] = set()
 
     @property
     def alive(self) -> list[str]:
         """Return the addresses of the peers heard from of late."""
-        oldest = self._clock.now() - _SILENT_S
+        oldest = self._clock.now() - self._silent_s
         return [p.address for p in self._peers.values() if p.heard_at >= oldest]
 
-    def subscribe(self, mailbox: Mailbox[object]) -> None:
-        """Send the load of the peers to a mailbox after each round."""
-        self._subscribers.append(mailbox)
-
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other first addresses."""
         self._seeds = seeds
 
     def sign(self, news: PeerNews) -> PeerNews:
-        """Return news with the load and the members that this process knows."""
-        return msgspec.structs.replace(
-            news,
-            in_flight=self._in_flight(),
-            members=tuple(self.alive[:_MAX_MEMBERS]),
-        )
+        """Return news with the members that this process knows."""
+        return msgspec.structs.replace(news, members=tuple(self.alive[:_MAX_MEMBERS]))
+
+    def ask(self, address: str) -> None:
+        """Exchange news with a peer now, as it knows more than this process."""
+        peer = self._know(address)
+        if peer is not None and not peer.is_busy:
+            self._start(peer)
 
     def heard(self, news: PeerNews) -> None:
-        """Take in who a peer is, its load and whom it knows."""
+        """Take in who a peer is and whom it knows."""
         for member in news.members:
             self._know(member)
         if not news.address:
             return
         peer = self._know(news.address)
         if peer is not None:
-            if peer.heard_at < self._clock.now() - _SILENT_S:
+            if peer.heard_at < self._clock.now() - self._silent_s:
                 _log_peer("peer_heard", peer.address)
             peer.heard_at = self._clock.now()
-            peer.in_flight = news.in_flight
 
     async def run(self) -> None:
         """Exchange news until cancelled."""
@@ -169,9 +159,9 @@
                 for seed in self._seeds:
                     self._know(seed)
                 self._forget_silent()
-                for peer in self._next_peers():
+                peer = self._next_peer()
+                if peer is not None:
                     self._start(peer)
-                self._publish()
                 await asyncio.sleep(self._round_s * self._rng.uniform(0.8, 1.2))
         finally:
             for peer in self._peers.values():
@@ -193,24 +183,28 @@
         now = self._clock.now()
         for address, peer in list(self._peers.items()):
             silent_s = now - max(peer.heard_at, peer.known_since)
-            if silent_s > _FORGET_S and address not in self._seeds:
+            if silent_s > _FORGET_S + self._silent_s and address not in self._seeds:
                 _close(peer)
                 del self._peers[address]
                 _log_peer("peer_forgotten", address)
 
-    def _next_peers(self) -> list[_Peer]:
+    @property
+    def _silent_s(self) -> float:
+        rounds = _SILENT_ROUNDS * max(1, len(self._peers))
+        return max(_LEAST_SILENT_S, rounds * self._round_s)
+
+    def _next_peer(self) -> _Peer | None:
         now = self._clock.now()
-        chosen: list[_Peer] = []
         if not self._order:
             self._order = self._rng.sample(list(self._peers), len(self._peers))
-        while self._order and len(chosen) < _PEERS_PER_ROUND:
+        while self._order:
             peer = self._peers.get(self._order.pop())
             if peer is None or peer.is_busy:
                 continue
-            is_silent = now - peer.heard_at > _SILENT_S
+            is_silent = now - peer.heard_at > self._silent_s
             if not is_silent or now - peer.tried_at > _RETRY_S:
-                chosen.append(peer)
-        return chosen
+                return peer
+        return None
 
     def _start(self, peer: _Peer) -> None:
         peer.is_busy = True
@@ -235,7 +229,7 @@
         except _ERRORS as error:
             # A channel that went silent stays silent, so each failure costs it.
             _close(peer)
-            if self._clock.now() - peer.heard_at < _SILENT_S:
+            if self._clock.now() - peer.heard_at < self._silent_s:
                 _log_peer("peer_call_failed", peer.address, repr(error))
         else:
             self.heard(answer)
@@ -243,19 +237,6 @@
         finally:
             peer.is_busy = False
 
-    def _publish(self) -> None:
-        oldest = self._clock.now() - _SILENT_S
-        totals: dict[str, int] = {}
-        processes = 1
-        for peer in self._peers.values():
-            if peer.heard_at < oldest or peer.in_flight is None:
-                continue
-            processes += 1
-            for upstream, count in peer.in_flight.items():
-                totals[upstream] = totals.get(upstream, 0) + count
-        for subscriber in self._subscribers:
-            subscriber.offer(PeerLoads(totals, processes))
-
 
 def _close(peer: _Peer) -> None:
     if peer.channel is not None:
--- a/packages/forwarding/src/sardineyard/forwarding/upstreams.py
+++ b/packages/forwarding/src/sardineyard/forwarding/upstreams.py
@@ -69,6 +69,11 @@
         """Return the records by the id of the upstream."""
         return self._records
 
+    @property
+    def has_lapsed(self) -> bool:
+        """Return whether entries are used that will run out."""
+        return any(r.listing is Listing.LAPSED for r in self._records.values())
+
     def usable(self, service: ServiceName) -> list[UpstreamEntry]:
         """Return the upstreams of a service that may get new work."""
         self._expire()
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -9,8 +9,10 @@
 
 from grpclib.server import Server
 
+from sardineyard.catalog.beacons import Beacons
 from sardineyard.catalog.follower import (
     StoreContact,
+    WatchPace,
     follow_config,
     follow_upstreams,
 )
@@ -46,10 +48,13 @@
 
 _logger = logging.getLogger(__name__)
 
-# A watch is asked for anew this often, so that a connection that went silent is
-# noticed before a change has to be in force.
-_WATCH_S = 3.0
-_PEER_ROUND_S = 0.2
+# A watch is asked for anew this often, which shows that its connection is not silent.
+# Gateways do so at different times, and the first one to hear of a change tells the
+# others, so that a change is in force everywhere in a fraction of it.
+_WATCH_S = 5.0
+# Pause between two watches, in which changes that come together are collected.
+_WATCH_PAUSE_S = 0.15
+_PEER_ROUND_S = 0.5
 _OLD_CONNECTIONS_S = 1.0
 # The platform asks once a second whether a gateway is ready and sends no more callers
 # after two refusals; until then new connections are served.
@@ -96,10 +101,18 @@
             tuple(map(str, settings.seed_peers)),
             clock,
             self._rng,
-            self._dispatcher.in_flight,
             _PEER_ROUND_S,
         )
-        self._exchange.subscribe(self._dispatcher.mailbox)
+        self._beacons = Beacons(
+            settings.peer_address,
+            settings.beacon_address,
+            clock,
+            lambda: self._exchange.alive,
+            self._dispatcher.in_flight,
+            lambda: self._keeper.versions,
+            self._exchange.ask,
+        )
+        self._beacons.subscribe(self._dispatcher.mailbox)
         self._connections = UpstreamConnections(clock)
         self._forwarder = Forwarder(
             lambda: self._keeper.config,
@@ -132,15 +145,17 @@
         self._tasks.start("catalog", self._keeper.run())
         self._tasks.start("dispatcher", self._dispatcher.run())
         mailbox = self._keeper.mailbox
+        pace = WatchPace(_WATCH_S, _WATCH_PAUSE_S, self._rng)
         for name, follow in (
             ("config", follow_config),
             ("upstreams", follow_upstreams),
         ):
             contact = StoreContact(name, self._clock, self._rng)
-            self._tasks.start(name, follow(self._store, mailbox, contact, _WATCH_S))
+            self._tasks.start(name, follow(self._store, mailbox, contact, pace))
         address = self._settings.peer_address
         await self._peers.start(address.host, address.port)
         self._tasks.start("peers", self._exchange.run())
+        self._tasks.start("beacons", self._beacons.run())
         self._tasks.start("connections", self._drop_old_connections())
         await self._callers.start()
         await self._readiness.start()
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -77,12 +77,12 @@
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        ticker = asyncio.get_running_loop().create_task(self._tick())
-        try:
-            while True:
-                self._handle(await self.mailbox.receive())
-        finally:
-            ticker.cancel()
+        while True:
+            try:
+                async with asyncio.timeout(_TICK_S if self._asked else None):
+                    self._handle(await self.mailbox.receive())
+            except TimeoutError:
+                self._grant_all()
 
     @singledispatchmethod
     def _handle(self, message: object) -> None:
@@ -217,11 +217,6 @@
             repeats_left=self._budget.left(service),
         )
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(_TICK_S)
-            self._grant_all()
-
 
 async def ask_repeat(mailbox: Mailbox[object], service: ServiceName) -> bool:
     """Return whether a request may be sent to a further upstream."""
--- a/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
@@ -9,6 +9,7 @@
 
 from sardineyard.catalog.follower import (
     StoreContact,
+    WatchPace,
     follow_config,
     follow_upstreams,
 )
@@ -36,7 +37,9 @@
 
 # The ranks of a group change seldom, and each call to the store is paid for.
 _WATCH_S = 15.0
-_PEER_ROUND_S = 2.0
+_WATCH_PAUSE_S = 2.0
+# Gateways are asked only as a second source beside the store.
+_PEER_ROUND_S = 4.0
 
 
 class RebalancerDaemon:
@@ -66,7 +69,6 @@
             tuple(map(str, settings.seed_peers)),
             clock,
             self._rng,
-            dict,
             _PEER_ROUND_S,
         )
         self._local = LocalRank(open_runner(settings.upstream_address), clock)
@@ -90,12 +92,13 @@
         self._tasks.start("catalog", self._keeper.run())
         self._tasks.start("local-rank", self._local.run())
         mailbox = self._keeper.mailbox
+        pace = WatchPace(_WATCH_S, _WATCH_PAUSE_S, self._rng)
         for name, follow in (
             ("config", follow_config),
             ("upstreams", follow_upstreams),
         ):
             contact = StoreContact(name, self._clock, self._rng)
-            self._tasks.start(name, follow(self._store, mailbox, contact, _WATCH_S))
+            self._tasks.start(name, follow(self._store, mailbox, contact, pace))
         address = self._settings.group_address
         await self._server.start(address.host, address.port)
         self._tasks.start("peers", self._exchange.run())
--- a/packages/settings/src/sardineyard/settings/gateway.py
+++ b/packages/settings/src/sardineyard/settings/gateway.py
@@ -40,6 +40,7 @@
     caller_address: Address
     ready_address: Address
     peer_address: Address
+    beacon_address: Address
     max_connections: int
     repeat_ratio: float
     repeat_extra: float
@@ -140,6 +141,15 @@
         help="Where to listen for other processes of the fleet.",
         example="127.0.0.1:9201",
     ),
+    "beacon_address": Option(
+        "gateway",
+        "beacon_address",
+        parsers.reachable_address,
+        _ADDRESS,
+        help="Where to receive the datagrams of other gateways; the port is the same "
+        "on all VMs.",
+        example="127.0.0.1:9211",
+    ),
     "max_connections": Option(
         "gateway",
         "max_connections",
