Read counts alone in most rounds and ask peers only for what is new

Cause: an answer without changes left a gateway behind its peer's revision, so it asked again with each beacon; each reading of a rank took two calls.

--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -111,10 +111,12 @@
             if read is not None:
                 self._adopt_config(read, f"peer {news.address}")
         reads = [self._decode(item) for item in news.upstreams]
-        if reads:
-            revision = news.upstream_revision if news.is_complete else 0
-            self._table.merge(reads, revision if self._is_complete else 0)
-            self._is_complete = self._is_complete or news.is_complete
+        if message.reply is None and news.is_complete:
+            # An answer holds all that was lacking here up to its revision.
+            self._table.merge(reads, news.upstream_revision)
+            self._is_complete = True
+        else:
+            self._table.merge(reads, 0)
         if message.reply is not None:
             message.reply.send(self._news(lacking=news))
 
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -54,7 +54,7 @@
 _WATCH_S = 5.0
 # Pause between two watches, in which changes that come together are collected.
 _WATCH_PAUSE_S = 0.15
-_PEER_ROUND_S = 0.5
+_PEER_ROUND_S = 1.0
 _OLD_CONNECTIONS_S = 1.0
 # The platform asks once a second whether a gateway is ready and sends no more callers
 # after two refusals; until then new connections are served.
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -27,7 +27,7 @@
 from sardineyard.rebalancer.messages import GatherReply, GatherRequest, GroupDump
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from sardineyard.catalog.messages import CatalogChanged
     from sardineyard.core.address import Address
@@ -44,6 +44,8 @@
 # Pause between two readings of the group. What is popular shifts every few seconds,
 # and a reading costs each rank a millisecond.
 _ROUND_S = 0.25
+# Rounds between two readings of all reports; the others read the counts alone.
+_ROUNDS_PER_REPORT = 4
 # Silence after which the coordinator is taken as gone, with a step for each rank, so
 # that the next one is the only one to take over. A held group stands still meanwhile.
 _TAKEOVER_S = 0.9
@@ -93,6 +95,9 @@
         self._layout_version = MapVersion(-1)
         self._last_version = 0
         self._tracker: LoadTracker | None = None
+        self._rounds = 0
+        self._group: dict[RankIndex, Member | OwnMember] = {}
+        self._reports: dict[RankIndex, RankReport] = {}
         self._skew = 0.0
         self._changes = 0
 
@@ -184,48 +189,54 @@
     async def _level_group(self, engine: EngineProfile) -> None:
         fence = self._fence
         assert fence is not None
-        gathered = await self._gather(fence, with_experts=self._layout is None)
-        group = self._whole_group(gathered)
-        if group is None:
-            return
-        reports = {rank: reply.report for rank, (_, reply) in group.items()}
-        first = next(iter(reports.values()))
-        assert first is not None
-        if first.epoch != self._epoch:
-            self._begin_epoch(first.epoch, engine)
-        shape = GroupShape(
-            len(group),
-            engine.layer_sets,
-            engine.experts,
-            engine.places_per_rank,
-            engine.spare_places,
-        )
-        if not self._learn_layout(shape, group):
-            return
-        members = {rank: member for rank, (member, _) in group.items()}
-        switch = MapSwitch(
-            GroupMembers(members, self._epoch, fence), self._clock, self._epoch
+        self._rounds += 1
+        if self._layout is None or self._rounds % _ROUNDS_PER_REPORT == 0:
+            if not await self._read_group(engine, fence):
+                return
+        counts = await self._gather(
+            list(self._group.values()),
+            GatherRequest(fence, with_report=False, with_counts=True),
         )
-        if await self._finish_leftover(switch, reports):
-            return
-        self._observe(group)
-        await self._improve(switch, shape, reports)
+        self._observe(dict(zip(self._group, counts, strict=True)))
+        await self._improve(engine, fence)
 
-    async def _gather(
-        self, fence: FencingNumber, *, with_experts: bool
-    ) -> list[tuple[Member | OwnMember, GatherReply]]:
+    async def _read_group(self, engine: EngineProfile, fence: FencingNumber) -> bool:
+        """Read all ranks; return whether the group is whole and nothing is pending."""
         members = list(self._members.values())
-        request = GatherRequest(fence, with_counts=True, with_experts=with_experts)
-        replies = await asyncio.gather(*(member.gather(request) for member in members))
-        return list(zip(members, replies, strict=True))
+        request = GatherRequest(fence, with_experts=self._layout is None)
+        replies = await self._gather(members, request)
+        group = self._whole_group(list(zip(members, replies, strict=True)))
+        if group is None:
+            return False
+        self._group = {rank: member for rank, (member, _) in group.items()}
+        self._reports = {
+            rank: reply.report for rank, (_, reply) in group.items() if reply.report
+        }
+        epoch = next(iter(self._reports.values())).epoch
+        if epoch != self._epoch:
+            self._begin_epoch(epoch, engine)
+        if not self._learn_layout(
+            _shape(engine, len(group)), [reply for _, reply in group.values()]
+        ):
+            return False
+        return not await self._finish_leftover(self._switch(fence))
+
+    def _switch(self, fence: FencingNumber) -> MapSwitch:
+        members = GroupMembers(self._group, self._epoch, fence)
+        return MapSwitch(members, self._clock, self._epoch)
+
+    async def _gather(
+        self, members: Sequence[Member | OwnMember], request: GatherRequest
+    ) -> list[GatherReply]:
+        return list(
+            await asyncio.gather(*(member.gather(request) for member in members))
+        )
 
     def _whole_group(
         self, gathered: list[tuple[Member | OwnMember, GatherReply]]
     ) -> dict[RankIndex, tuple[Member | OwnMember, GatherReply]] | None:
         """Return the members of the own group by rank, if all are there."""
-        own = next(
-            (r.report for m, r in gathered if isinstance(m, OwnMember)), None
-        )
+        own = next((r.report for m, r in gathered if isinstance(m, OwnMember)), None)
         if own is None or not own.is_open:
             return None
         group = {}
@@ -266,18 +277,12 @@
             _LEAST_CHOICES,
         )
 
-    def _learn_layout(
-        self,
-        shape: GroupShape,
-        group: dict[RankIndex, tuple[Member | OwnMember, GatherReply]],
-    ) -> bool:
+    def _learn_layout(self, shape: GroupShape, replies: list[GatherReply]) -> bool:
         """Return whether the layout in use is known."""
-        versions = {
-            reply.report.version for _, reply in group.values() if reply.report
-        }
+        versions = {report.version for report in self._reports.values()}
         if self._layout is not None and versions == {self._layout_version}:
             return True
-        lists = [reply.experts for _, reply in group.values()]
+        lists = [reply.experts for reply in replies]
         same = {part.version for part in lists if part is not None}
         if None in lists or len(same) != 1:
             # Between two steps of a switch, or lists were not asked for yet.
@@ -293,77 +298,65 @@
         self._layout, self._layout_version = layout, same.pop()
         return True
 
-    async def _finish_leftover(
-        self, switch: MapSwitch, reports: dict[RankIndex, RankReport | None]
-    ) -> bool:
-        present = {rank: report for rank, report in reports.items() if report}
-        if all(r.held_step is None and r.armed is None for r in present.values()):
+    async def _finish_leftover(self, switch: MapSwitch) -> bool:
+        """Return whether a change of another coordinator was pending."""
+        reports = self._reports
+        if all(r.held_step is None and r.armed is None for r in reports.values()):
             return False
         assert self._layout is not None
-        result = await switch.finish(present, self._layout)
+        result = await switch.finish(reports, self._layout)
         if result is not SwitchResult.NOTHING_TO_DO:
             self._log_change(result, None)
             self._layout = None
         return True
 
-    def _observe(
-        self, group: dict[RankIndex, tuple[Member | OwnMember, GatherReply]]
-    ) -> None:
+    def _observe(self, replies: dict[RankIndex, GatherReply]) -> None:
         assert self._tracker is not None
-        for rank, (_, reply) in group.items():
-            counts, report = reply.counts, reply.report
-            if counts is None or report is None:
+        for rank, reply in replies.items():
+            counts = reply.counts
+            if counts is None:
                 continue
+            if counts.epoch != self._epoch:
+                raise EpochEndedError(f"epoch {counts.epoch}")
             if len(counts.counts) == len(self._tracker.loads):
                 self._tracker.observe(
                     UpstreamId(str(rank)),
-                    Incarnation(report.started_ms),
+                    Incarnation(self._reports[rank].started_ms),
                     counts.counts,
                 )
 
-    async def _improve(
-        self,
-        switch: MapSwitch,
-        shape: GroupShape,
-        reports: dict[RankIndex, RankReport | None],
-    ) -> None:
+    async def _improve(self, engine: EngineProfile, fence: FencingNumber) -> None:
         assert self._tracker is not None
         assert self._layout is not None
         loads = self._tracker.loads
         if sum(loads) < _LEAST_CHOICES:
             return
+        shape = _shape(engine, len(self._group))
         self._skew = mean_skew(shape, self._layout, loads)
         self._metrics.skew(self._skew)
         planned = level(shape, self._layout, loads)
         if planned is None or not planned.is_worth_it:
             return
-        version = self._next_version(reports)
-        holder = next(
-            rank
-            for rank, member in reports.items()
-            if member is not None and self._is_own(member)
+        version = self._next_version()
+        result = await self._switch(fence).change(
+            version, planned.layout, self._layout, self._own_rank()
         )
-        result = await switch.change(version, planned.layout, self._layout, holder)
         self._log_change(result, planned)
         if result is SwitchResult.SWITCHED:
             self._layout, self._layout_version = planned.layout, version
             self._changes += 1
-        elif result is SwitchResult.NOT_PREPARED:
-            self._last_version += _VERSION_GAP
         else:
             self._layout = None
+            if result is SwitchResult.NOT_PREPARED:
+                self._last_version += _VERSION_GAP
 
-    def _is_own(self, report: RankReport) -> bool:
-        own = self._local.last_report
-        return own is not None and own.rank == report.rank
+    def _own_rank(self) -> RankIndex:
+        return next(r for r, m in self._group.items() if isinstance(m, OwnMember))
 
-    def _next_version(
-        self, reports: dict[RankIndex, RankReport | None]
-    ) -> MapVersion:
+    def _next_version(self) -> MapVersion:
         seen = max(
             max(report.version, report.prepared or 0, report.armed or 0)
-            for report in reports.values()
-            if report is not None
+            for report in self._reports.values()
         )
         self._last_version = max(seen, self._last_version) + 1
         return MapVersion(self._last_version)
@@ -404,3 +397,13 @@
                 "copies": planned.copies if planned else None,
             },
         )
+
+
+def _shape(engine: EngineProfile, ranks: int) -> GroupShape:
+    return GroupShape(
+        ranks,
+        engine.layer_sets,
+        engine.experts,
+        engine.places_per_rank,
+        engine.spare_places,
+    )
--- a/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
@@ -78,7 +78,7 @@
         message.reply.send(
             GatherReply(
                 self._known_fence,
-                await self.refresh(),
+                await self.refresh() if request.with_report else None,
                 await self._runner.counts() if request.with_counts else None,
                 await self._runner.experts() if request.with_experts else None,
             )
--- a/packages/rebalancer/src/sardineyard/rebalancer/messages.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/messages.py
@@ -28,6 +28,7 @@
     """Ask a rank for its state, in the name of the coordinator with a number."""
 
     fence: FencingNumber
+    with_report: bool = True
     with_counts: bool = False
     with_experts: bool = False
 
