--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -21,7 +21,7 @@
 )
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.forwarding.source import UpstreamRead
-from sardineyard.forwarding.upstreams import UpstreamTable
+from sardineyard.forwarding.listing import ListingTable
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
@@ -42,7 +42,7 @@
         self.mailbox: Mailbox[object] = Mailbox()
         self._store = store
         self._address = address
-        self._table = UpstreamTable(clock)
+        self._table = ListingTable(clock)
         self._config: ConfigRead | None = None
         self._config_source = ""
         self._is_complete = False
--- a/packages/forwarding/src/sardineyard/forwarding/upstreams.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -50,7 +50,7 @@
     used_until: Deadline = NO_DEADLINE
 
 
-class UpstreamTable:
+class ListingTable:
     """Merge news about upstreams; the greater revision wins."""
 
     def __init__(self, clock: Clock) -> None:
--- /dev/null
+++ b/packages/forwarding/tests/conftest.py
@@ -0,0 +1,144 @@
+"""Fixtures of the forwarding tests."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from sardineyard.core.clock import Deadline, ManualClock
+from sardineyard.core.ids import FailureDomain, ServiceName, TeamId
+from sardineyard.forwarding.config import (
+    EngineProfile,
+    ForwardingConfig,
+    Repetition,
+    Route,
+    ServiceProfile,
+    TeamKeys,
+    UpstreamEntry,
+    UpstreamPhase,
+    WeightedService,
+)
+from sardineyard.forwarding.places import PlaceBook, PlaceRequest, TicketId
+from sardineyard.forwarding.source import UpstreamRead
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICE = ServiceName("desk")
+ENGINE = EngineProfile(
+    slots=6,
+    steps_per_pass=4,
+    step_ms=4.5,
+    step_ms_per_sequence=1.8,
+    step_ms_per_context_k=0.04,
+    prompt_tokens_per_ms=61.0,
+    prompt_ms_per_million_pairs=0.5,
+    prompt_chunk_tokens=512,
+    usual_prompt_tokens=800,
+    usual_answer_tokens=100,
+)
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """Return a clock that stands still."""
+    return ManualClock(now=100.0)
+
+
+@pytest.fixture
+def make_entry() -> Callable[..., UpstreamEntry]:
+    """Return a function that makes the entry of an upstream."""
+
+    def make(
+        id: str, *, domain: str = "a", draining: bool = False, started_ms: int = 1
+    ) -> UpstreamEntry:
+        phase = UpstreamPhase.DRAINING if draining else UpstreamPhase.READY
+        return UpstreamEntry(
+            id, SERVICE, "127.0.0.1", 80, FailureDomain(domain), 6, phase, started_ms
+        )
+
+    return make
+
+
+@pytest.fixture
+def make_read(
+    make_entry: Callable[..., UpstreamEntry],
+) -> Callable[..., UpstreamRead]:
+    """Return a function that makes a read of an upstream."""
+
+    def make(id: str, revision: int, **fields: object) -> UpstreamRead:
+        return UpstreamRead(id, revision, make_entry(id, **fields), b"raw")
+
+    return make
+
+
+@pytest.fixture
+def make_route() -> Callable[..., Route]:
+    """Return a function that makes a route."""
+
+    def make(path_prefix: str = "/a/", **fields: object) -> Route:
+        values: dict[str, object] = {
+            "name": path_prefix,
+            "host": "desk.example",
+            "path_prefix": path_prefix,
+            "services": (WeightedService(SERVICE, 1.0),),
+            "repetition": Repetition.IDEMPOTENT,
+            "is_stream": False,
+            "timeout_s": 2.0,
+            "target_latency_s": 0.1,
+            "target_pause_s": 0.0,
+            "max_upstreams": 2,
+            "priority": 1,
+            "is_public": False,
+            **fields,
+        }
+        return Route(**values)  # type: ignore[arg-type]
+
+    return make
+
+
+@pytest.fixture
+def make_config(
+    make_route: Callable[..., Route],
+) -> Callable[..., ForwardingConfig]:
+    """Return a function that makes a configuration."""
+
+    def make(*routes: Route, version: int = 1) -> ForwardingConfig:
+        return ForwardingConfig(
+            version,
+            routes or (make_route(),),
+            {SERVICE: ServiceProfile(SERVICE, 100)},
+            (TeamKeys(TeamId("team"), ("key",)),),
+        )
+
+    return make
+
+
+@pytest.fixture
+def book(clock: ManualClock) -> PlaceBook:
+    """Return the places of a service with an engine."""
+    book = PlaceBook(clock, Random(1), FailureDomain("a"))
+    book.configure({SERVICE: ServiceProfile(SERVICE, 100, ENGINE)})
+    return book
+
+
+@pytest.fixture
+def make_request(clock: ManualClock) -> Callable[..., PlaceRequest]:
+    """Return a function that makes a request for a place."""
+
+    def make(ticket: int, priority: int = 0, **fields: object) -> PlaceRequest:
+        values: dict[str, object] = {
+            "ticket": TicketId(ticket),
+            "service": SERVICE,
+            "priority": priority,
+            "arrived": clock.now(),
+            "deadline": Deadline(clock.now() + 8.0),
+            "target_latency_s": 0.5,
+            "target_pause_s": 0.12,
+            **fields,
+        }
+        return PlaceRequest(**values)  # type: ignore[arg-type]
+
+    return make
--- /dev/null
+++ b/packages/forwarding/tests/test_budget.py
@@ -0,0 +1,41 @@
+"""Tests of the share in the fleet's repeats."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardineyard.core.ids import ServiceName
+from sardineyard.forwarding.budget import BudgetRules, RepeatBudget
+
+if TYPE_CHECKING:
+    from sardineyard.core.clock import ManualClock
+
+SERVICE = ServiceName("desk")
+RULES = BudgetRules(ratio=0.2, extra=100.0, window_s=10.0)
+
+
+def spend(budget: RepeatBudget) -> int:
+    count = 0
+    while budget.take(SERVICE):
+        count += 1
+    return count
+
+
+def test_all_processes_together_stay_below_the_bound(clock: ManualClock) -> None:
+    """Guards against repeats that each process counts for itself alone."""
+    budgets = [RepeatBudget(clock, RULES) for _ in range(10)]
+    for budget in budgets:
+        budget.share_among(10)
+        for _ in range(50):
+            budget.requested(SERVICE)
+    assert 0 < sum(map(spend, budgets)) <= 0.2 * 500 + 100
+
+
+def test_repeats_come_back_after_the_window(clock: ManualClock) -> None:
+    """Guards against a budget that is spent once and for all."""
+    budget = RepeatBudget(clock, RULES)
+    spent = spend(budget)
+    clock.advance(9.0)
+    assert spend(budget) == 0
+    clock.advance(2.0)
+    assert spend(budget) == spent
--- /dev/null
+++ b/packages/forwarding/tests/test_places.py
@@ -0,0 +1,142 @@
+"""Tests of admission."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from sardineyard.core.clock import Deadline, ManualClock
+from sardineyard.core.ids import FailureDomain, ServiceName
+from sardineyard.forwarding.places import Place, PlaceBook, Refusal, Refused, TicketId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.forwarding.config import UpstreamEntry
+    from sardineyard.forwarding.places import PlaceRequest
+
+SERVICE = ServiceName("desk")
+
+
+@pytest.fixture
+def ranks(make_entry: Callable[..., UpstreamEntry]) -> list[UpstreamEntry]:
+    """Return the ranks of a group."""
+    return [make_entry(f"u{index}") for index in range(4)]
+
+
+def test_the_more_urgent_request_gets_the_last_place(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+) -> None:
+    """Guards against first come first served in a flood of less urgent work."""
+    for ticket in range(60):
+        book.enqueue(make_request(ticket, priority=2))
+    granted = [r for r, d in book.grant(SERVICE, ranks) if isinstance(d, Place)]
+    assert granted
+    book.enqueue(make_request(100, priority=2))
+    book.enqueue(make_request(101, priority=0))
+    book.release(granted[0].ticket)
+    first = next(r for r, d in book.grant(SERVICE, ranks) if isinstance(d, Place))
+    assert first.ticket == 101
+
+
+def test_streams_spread_over_the_ranks(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+) -> None:
+    """Guards against one full rank, which slows every stream of the group."""
+    for ticket in range(12):
+        book.enqueue(make_request(ticket))
+        book.grant(SERVICE, ranks)
+    counts = [book.in_flight(rank.id) for rank in ranks]
+    assert max(counts) - min(counts) <= 1
+
+
+def test_the_streams_of_other_gateways_take_places(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+) -> None:
+    """Guards against a group that each gateway fills on its own."""
+    book.hear({rank.id: 6 for rank in ranks}, 2)
+    book.enqueue(make_request(1))
+    assert book.grant(SERVICE, ranks) == []
+
+
+def test_fewer_streams_are_admitted_when_pauses_are_long(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+    clock: ManualClock,
+) -> None:
+    """Guards against pauses above the allowed one while a map is not level."""
+    book.enqueue(make_request(1))
+    book.grant(SERVICE, ranks)
+    level = book.limit(SERVICE, ranks)
+    book.hear({rank.id: 4 for rank in ranks}, 2)
+    for _ in range(50):
+        clock.advance(0.1)
+        book.observe_pause(SERVICE, 0.2, ranks)
+    assert book.limit(SERVICE, ranks) < 0.7 * level
+
+
+def test_a_request_without_a_place_is_refused_in_time_to_come_back(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+    clock: ManualClock,
+) -> None:
+    """Guards against holding a request until its caller cannot try again."""
+    book.hear({rank.id: 6 for rank in ranks}, 2)
+    book.enqueue(make_request(1))
+    clock.advance(1.3)
+    ((_, decision),) = book.grant(SERVICE, ranks)
+    assert isinstance(decision, Refused)
+    assert decision.reason is Refusal.OVERLOADED
+    assert 0 < decision.retry_after_s <= (8.0 - 1.3) / 3
+
+
+def test_a_released_ticket_no_longer_waits(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+) -> None:
+    """Guards against a place for a caller that is gone."""
+    book.hear({rank.id: 6 for rank in ranks}, 2)
+    book.enqueue(make_request(1))
+    book.release(TicketId(1))
+    book.hear({}, 1)
+    assert book.grant(SERVICE, ranks) == []
+
+
+def test_an_upstream_that_failed_the_request_is_a_last_resort(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+) -> None:
+    """Guards against a repeat at the upstream that has just failed."""
+    excluded = frozenset(rank.id for rank in ranks[:3])
+    book.enqueue(make_request(1, excluded=excluded))
+    ((_, decision),) = book.grant(SERVICE, ranks)
+    assert isinstance(decision, Place)
+    assert decision.upstream.id == "u3"
+    book.enqueue(make_request(2, excluded=frozenset({"u0"})))
+    ((_, decision),) = book.grant(SERVICE, ranks[:1])
+    assert isinstance(decision, Place)
+
+
+def test_a_service_without_upstreams_refuses_before_the_deadline(
+    clock: ManualClock, make_request: Callable[..., PlaceRequest]
+) -> None:
+    """Guards against requests that wait for ever when nothing is listed."""
+    book = PlaceBook(clock, Random(1), FailureDomain("a"))
+    book.enqueue(make_request(1, deadline=Deadline(clock.now() + 1.0)))
+    assert book.grant(SERVICE, []) == []
+    clock.advance(0.6)
+    ((_, decision),) = book.grant(SERVICE, [])
+    assert isinstance(decision, Refused)
+    assert decision.reason is Refusal.NO_UPSTREAM
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -39,6 +39,7 @@
 
     from sardineyard.core.clock import Clock
     from sardineyard.core.errors import ErrorKind
+    from sardineyard.forwarding.config import ForwardingConfig
     from sardineyard.forwarding.messages import MessageCodec
     from sardineyard.forwarding.source import CatalogStore
     from sardineyard.httpio.exchange import Exchange
@@ -137,9 +138,24 @@
             settings.ready_address, self._answer_ready, _refuse_bad, HttpLimits()
         )
         self._admin = AdminServer(
-            settings.admin_address, self._is_ready, self._dump, self._render_metrics
+            settings.admin_address, lambda: self.is_ready, self._dump, self._render_metrics
         )
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this gateway takes new connections."""
+        return self._state is ProcessState.SERVING and self._keeper.is_ready
+
+    @property
+    def config(self) -> ForwardingConfig | None:
+        """Return the configuration in force."""
+        return self._keeper.config
+
+    @property
+    def caller_port(self) -> int:
+        """Return the port on which callers are served."""
+        return self._callers.port
+
     async def start(self) -> None:
         """Start the tasks and listen."""
         self._tasks.start("catalog", self._keeper.run())
@@ -203,11 +219,8 @@
             limits.idle_timeout_s,
         )
 
-    def _is_ready(self) -> bool:
-        return self._state is ProcessState.SERVING and self._keeper.is_ready
-
     async def _answer_ready(self, request: HttpRequest, exchange: Exchange) -> None:
-        await exchange.send(200 if self._is_ready() else 503, {})
+        await exchange.send(200 if self.is_ready else 503, {})
 
     async def _drop_old_connections(self) -> None:
         while True:
--- /dev/null
+++ b/packages/gateway/tests/conftest.py
@@ -0,0 +1,224 @@
+"""Fixtures of the gateway tests: a gateway between a client and scripted upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from sardineyard.core.address import Address
+from sardineyard.core.clock import SystemClock
+from sardineyard.core.ids import FailureDomain, ServiceName, TeamId
+from sardineyard.forwarding.config import (
+    ForwardingConfig,
+    FrontLimits,
+    Repetition,
+    Route,
+    ServiceProfile,
+    TeamKeys,
+    UpstreamEntry,
+    UpstreamPhase,
+    WeightedService,
+)
+from sardineyard.gateway.daemon import GatewayDaemon
+from sardineyard.settings.gateway import GatewaySettings
+from sardineyard.standins.gateway_world import (
+    MemoryStore,
+    Peer,
+    PlainHeaders,
+    ScriptedUpstream,
+)
+from sardineyard.telemetry.gateway_metrics import GatewayMetrics
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+SERVICE = ServiceName("desk")
+
+
+def route(prefix: str, repetition: Repetition, **fields: Any) -> Route:
+    values: dict[str, Any] = {
+        "name": prefix,
+        "host": "desk.example",
+        "path_prefix": prefix,
+        "services": (WeightedService(SERVICE, 1.0),),
+        "repetition": repetition,
+        "is_stream": False,
+        "timeout_s": 1.5,
+        "target_latency_s": 0.1,
+        "target_pause_s": 0.0,
+        "max_upstreams": 2,
+        "priority": 1,
+        "is_public": False,
+        **fields,
+    }
+    return Route(**values)
+
+
+CONFIG = ForwardingConfig(
+    7,
+    (
+        route("/read/", Repetition.IDEMPOTENT),
+        route("/book/", Repetition.AT_MOST_ONCE, max_upstreams=1),
+        route("/stream/", Repetition.RESUMABLE, is_stream=True, timeout_s=5.0),
+    ),
+    {SERVICE: ServiceProfile(SERVICE, 100)},
+    (TeamKeys(TeamId("team"), ("key",)),),
+    FrontLimits(2_048, 4_096, 0.4, 2.0),
+)
+
+
+class Client:
+    """Speak HTTP/1.1 over one connection."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.reader: asyncio.StreamReader
+        self.writer: asyncio.StreamWriter
+
+    async def connect(self) -> Client:
+        """Open the connection."""
+        self.reader, self.writer = await asyncio.open_connection(
+            "127.0.0.1", self._port
+        )
+        return self
+
+    def send(
+        self, target: str, *headers: str, method: str = "GET", body: bytes = b""
+    ) -> None:
+        """Send a request with the usual headers."""
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            "host: desk.example",
+            "x-id: r1",
+            "x-key: key",
+            *headers,
+        ]
+        if body:
+            lines.append(f"content-length: {len(body)}")
+        self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    async def head(self) -> tuple[int, dict[str, str]]:
+        """Return status and headers of the next answer."""
+        text = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        first, *lines = text.strip().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines)
+        return int(first.split()[1]), headers
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        """Return the next answer; raise IncompleteReadError if it is cut."""
+        status, headers = await self.head()
+        if headers.get("transfer-encoding") == "chunked":
+            return status, headers, await self._chunks()
+        length = int(headers.get("content-length", "0"))
+        return status, headers, await self.reader.readexactly(length)
+
+    async def ask(
+        self, target: str, *headers: str, method: str = "GET", body: bytes = b""
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request and return its answer."""
+        self.send(target, *headers, method=method, body=body)
+        async with asyncio.timeout(8.0):
+            return await self.answer()
+
+    async def _chunks(self) -> bytes:
+        body = b""
+        while size := int(await self.reader.readuntil(b"\r\n"), 16):
+            body += await self.reader.readexactly(size)
+            await self.reader.readexactly(2)
+        await self.reader.readexactly(2)
+        return body
+
+
+class GatewayWorld:
+    """Hold a running gateway, its store and its upstreams."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.upstreams: dict[str, ScriptedUpstream] = {}
+        settings = GatewaySettings(
+            process="gateway-1",
+            failure_domain="a",
+            log_level="info",
+            admin_address=Address("127.0.0.1", 0),
+            store_address=Address("127.0.0.1", 0),
+            seed_peers=(),
+            drain_timeout_s=4.0,
+            caller_address=Address("127.0.0.1", 0),
+            ready_address=Address("127.0.0.1", 0),
+            peer_address=Address("127.0.0.1", 0),
+            beacon_address=Address("127.0.0.1", 0),
+            max_connections=50,
+            repeat_ratio=0.2,
+            repeat_extra=20.0,
+            repeat_window_s=10.0,
+        )
+        self.daemon = GatewayDaemon(
+            settings,
+            SystemClock(),
+            self.store,
+            PlainHeaders(),
+            GatewayMetrics("gateway-1"),
+            tuple,
+        )
+
+    async def start(
+        self, *scripts: Callable[[Peer], Awaitable[None]], config: Any = CONFIG
+    ) -> None:
+        """Start the gateway and one upstream for each script."""
+        if config is not None:
+            await self.store.put_config(config)
+        for index, script in enumerate(scripts):
+            await self.add_upstream(f"u{index}", script)
+        await self.daemon.start()
+        async with asyncio.timeout(5.0):
+            while config is not None and not self.daemon.is_ready:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    async def add_upstream(
+        self, id: str, script: Callable[[Peer], Awaitable[None]]
+    ) -> None:
+        """Start an upstream and list it."""
+        upstream = ScriptedUpstream(script)
+        await upstream.start()
+        self.upstreams[id] = upstream
+        await self.store.put_upstream(
+            UpstreamEntry(
+                id,
+                SERVICE,
+                "127.0.0.1",
+                upstream.port,
+                FailureDomain("a"),
+                4,
+                UpstreamPhase.READY,
+            )
+        )
+
+    async def client(self) -> Client:
+        """Return a connected client."""
+        return await Client(self.daemon.caller_port).connect()
+
+    async def close(self) -> None:
+        """Stop everything."""
+        await self.daemon.close()
+        for upstream in self.upstreams.values():
+            upstream.close()
+
+
+@pytest.fixture
+def run_world() -> Callable[[Callable[[GatewayWorld], Awaitable[None]]], None]:
+    """Return a function that runs a test with a gateway of its own."""
+
+    def run(test: Callable[[GatewayWorld], Awaitable[None]]) -> None:
+        async def play() -> None:
+            world = GatewayWorld()
+            try:
+                async with asyncio.timeout(20.0):
+                    await test(world)
+            finally:
+                await world.close()
+
+        asyncio.run(play())
+
+    return run
--- a/packages/httpio/src/sardineyard/httpio/acceptor.py
+++ b/packages/httpio/src/sardineyard/httpio/acceptor.py
@@ -59,10 +59,14 @@
 class Answer:
     """Write one answer, whole or in pieces."""
 
-    def __init__(self, http: h11.Connection, link: SocketLink, is_last: bool) -> None:
+    def __init__(
+        self, http: h11.Connection, link: SocketLink, closes: Callable[[], bool]
+    ) -> None:
         self._http = http
         self._link = link
-        self.is_last = is_last
+        self._closes = closes
+        # Whether the client was told that the connection ends with this answer.
+        self.is_last = False
         self.is_started = False
         self.is_finished = False
 
@@ -92,6 +96,7 @@
 
     def _head(self, status: int, headers: HeaderList) -> bytes:
         self.is_started = True
+        self.is_last = self._closes()
         if self.is_last:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
@@ -241,13 +246,15 @@
         try:
             request = await self._read_request(http, limits)
         except _RefusedError as refusal:
-            answer = Answer(http, self._link, is_last=True)
+            answer = Answer(http, self._link, lambda: True)
             await self._refuse(refusal.kind, refusal.detail, answer)
             await self._linger()
             return False
         if request is None:
             return False
-        answer = Answer(http, self._link, self._acceptor.closes_after_answer)
+        answer = Answer(
+            http, self._link, lambda: self._acceptor.closes_after_answer
+        )
         await self._run_handler(request, answer)
         self._is_idle = True
         if not answer.is_finished:
--- /dev/null
+++ b/packages/standins/src/sardineyard/standins/gateway_world.py
@@ -0,0 +1,278 @@
+"""Stand-ins for the surroundings of a gateway: store, headers and upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from sardineyard.core.ids import RequestId
+from sardineyard.forwarding.messages import (
+    AnswerFacts,
+    ForwardOrders,
+    HeaderList,
+    RequestFacts,
+)
+from sardineyard.forwarding.source import (
+    ConfigChanges,
+    ConfigRead,
+    StoreError,
+    StoreFailure,
+    UpstreamChanges,
+    UpstreamRead,
+    UpstreamSnapshot,
+)
+from sardineyard.httpio.fields import drop_connection_fields, find
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
+
+
+class MemoryStore:
+    """Hold configuration and upstreams; implements CatalogStore."""
+
+    def __init__(self) -> None:
+        self._revision = 1
+        self._config: ConfigRead | None = None
+        self._configs: dict[bytes, ForwardingConfig] = {}
+        self._entries: dict[bytes, UpstreamEntry] = {}
+        self._upstreams: dict[str, UpstreamRead] = {}
+        self._changed = asyncio.Condition()
+        self.failure: StoreFailure | None = None
+
+    async def put_config(self, config: ForwardingConfig) -> None:
+        """Write a configuration."""
+        async with self._changed:
+            self._revision += 1
+            raw = f"config {config.version}".encode()
+            self._configs[raw] = config
+            self._config = ConfigRead(config, raw, self._revision)
+            self._changed.notify_all()
+
+    async def put_upstream(self, entry: UpstreamEntry) -> None:
+        """Write the entry of an upstream."""
+        async with self._changed:
+            self._revision += 1
+            raw = f"entry {self._revision}".encode()
+            self._entries[raw] = entry
+            read = UpstreamRead(entry.id, self._revision, entry, raw)
+            self._upstreams[entry.id] = read
+            self._changed.notify_all()
+
+    async def remove_upstream(self, id: str) -> None:
+        """Remove the entry of an upstream."""
+        async with self._changed:
+            self._revision += 1
+            self._upstreams[id] = UpstreamRead(id, self._revision, None)
+            self._changed.notify_all()
+
+    async def read_config(self) -> ConfigRead | None:
+        """Return the configuration in force, or None before the first one."""
+        self._check()
+        return self._config
+
+    async def read_upstreams(self) -> UpstreamSnapshot:
+        """Return all listed upstreams."""
+        self._check()
+        listed = tuple(r for r in self._upstreams.values() if r.entry is not None)
+        return UpstreamSnapshot(listed, self._revision)
+
+    async def watch_config(self, after: int, wait_s: float) -> ConfigChanges:
+        """Wait for a newer configuration."""
+        await self._wait(
+            lambda: self._config is not None and self._config.revision > after, wait_s
+        )
+        newest = self._config
+        if newest is not None and newest.revision <= after:
+            newest = None
+        return ConfigChanges(newest, self._revision)
+
+    async def watch_upstreams(self, after: int, wait_s: float) -> UpstreamChanges:
+        """Wait for changes of the upstreams."""
+
+        def newer() -> tuple[UpstreamRead, ...]:
+            reads = self._upstreams.values()
+            return tuple(read for read in reads if read.revision > after)
+
+        await self._wait(lambda: bool(newer()), wait_s)
+        return UpstreamChanges(newer(), self._revision)
+
+    def decode_config(self, raw: bytes, revision: int) -> ConfigRead | None:
+        """Decode a configuration that a peer passed on; None if it is malformed."""
+        config = self._configs.get(raw)
+        return None if config is None else ConfigRead(config, raw, revision)
+
+    def decode_upstream(self, id: str, raw: bytes, revision: int) -> UpstreamRead:
+        """Decode an upstream that a peer passed on."""
+        return UpstreamRead(id, revision, self._entries.get(raw), raw)
+
+    async def _wait(self, is_done: Callable[[], bool], wait_s: float) -> None:
+        self._check()
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: is_done() or self.failure is not None
+                )
+        except TimeoutError:
+            # The watch ends without a change.
+            pass
+        self._check()
+
+    def _check(self) -> None:
+        if self.failure is not None:
+            raise StoreError(self.failure)
+
+
+class PlainHeaders:
+    """Translate headers of plain names; implements MessageCodec."""
+
+    def read_request(self, headers: HeaderList) -> RequestFacts:
+        """Return what a caller says about its request."""
+        patience = find(headers, b"x-patience")
+        return RequestFacts(
+            request_id=RequestId(find(headers, b"x-id").decode()),
+            patience_s=float(patience) if patience else None,
+            team_key=find(headers, b"x-key").decode(),
+            last_event_id=find(headers, b"last-event-id").decode(),
+        )
+
+    def forwarded_headers(
+        self, headers: HeaderList, orders: ForwardOrders
+    ) -> HeaderList:
+        """Return the headers of the request for an upstream."""
+        kept = [
+            (name, value)
+            for name, value in drop_connection_fields(headers)
+            if name.lower() not in (b"x-key", b"x-patience")
+        ]
+        kept.append((b"x-left", b"%.3f" % orders.time_left_s))
+        kept.append((b"x-team", (orders.team or "").encode()))
+        if orders.resume_after:
+            kept.append((b"last-event-id", orders.resume_after.encode()))
+        return kept
+
+    def read_answer(self, status: int, headers: HeaderList) -> AnswerFacts:
+        """Return what an upstream says about its answer."""
+        return AnswerFacts(
+            status=status,
+            is_not_run=bool(find(headers, b"x-not-run")),
+            is_sealed=bool(find(headers, b"x-seal")),
+            is_encoded=bool(find(headers, b"content-encoding")),
+            request_id=find(headers, b"x-id").decode(),
+        )
+
+    def refusal_headers(
+        self, request_id: RequestId, retry_after_s: float | None
+    ) -> HeaderList:
+        """Return the headers of an answer that the gateway makes itself."""
+        if retry_after_s is None:
+            return []
+        return [(b"retry-after", b"%.3f" % retry_after_s)]
+
+
+@dataclass(slots=True)
+class ReceivedRequest:
+    """Hold one request as a scripted upstream received it."""
+
+    head: bytes
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Return the value of a header field, or nothing."""
+        for line in self.head.decode("latin-1").split("\r\n")[1:]:
+            field_name, _, value = line.partition(":")
+            if field_name.lower() == name:
+                return value.strip()
+        return ""
+
+
+@dataclass(slots=True)
+class Peer:
+    """Hold one connection of a scripted upstream."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def receive(self) -> ReceivedRequest | None:
+        """Wait for a whole request; None means that the gateway closed."""
+        try:
+            head = await self.reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        request = ReceivedRequest(head, b"")
+        length = int(request.header("content-length") or 0)
+        request.body = await self.reader.readexactly(length)
+        return request
+
+    def answer(
+        self, request: ReceivedRequest, body: bytes = b"ok", *extra: str
+    ) -> None:
+        """Send a whole sealed answer."""
+        self.send(
+            "HTTP/1.1 200 OK",
+            f"x-id: {request.header('x-id')}",
+            "x-seal: s",
+            f"content-length: {len(body)}",
+            *extra,
+            body=body,
+        )
+
+    def start_stream(self, request: ReceivedRequest) -> None:
+        """Send the head of a sealed stream."""
+        self.send(
+            "HTTP/1.1 200 OK",
+            f"x-id: {request.header('x-id')}",
+            "x-seal: s",
+            "content-type: text/event-stream",
+            "transfer-encoding: chunked",
+        )
+
+    def event(self, number: int) -> None:
+        """Send one event of a stream."""
+        self.chunk(f"id: {number}\ndata: {number}\n\n".encode())
+
+    def chunk(self, data: bytes) -> None:
+        """Send a chunk; an empty one ends the stream."""
+        self.writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def send(self, *lines: str, body: bytes = b"") -> None:
+        """Send a head and bytes behind it."""
+        self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    def reset(self) -> None:
+        """Break the connection off."""
+        self.writer.transport.abort()
+
+
+@dataclass(slots=True)
+class ScriptedUpstream:
+    """Serve each connection with a script of the test."""
+
+    script: Callable[[Peer], Awaitable[None]]
+    requests: list[ReceivedRequest] = field(default_factory=list)
+    port: int = 0
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Start to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        peer = Peer(reader, writer)
+        try:
+            await self.script(peer)
+        except ConnectionError:
+            # The gateway left; what the test checks it reads from the requests.
+            return
+        finally:
+            writer.close()
