--- a/packages/httpio/src/sardineyard/httpio/head_check.py
+++ b/packages/httpio/src/sardineyard/httpio/head_check.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 _END = b"\r\n\r\n"
+_VERSIONS = (b"HTTP/1.1", b"HTTP/1.0")
 
 
 class HeadError(ValueError):
@@ -33,6 +34,8 @@
     ):
         raise HeadError("a line does not end with CR LF")
     lines = head[: -len(_END)].split(b"\r\n")
+    if not lines[0].endswith(_VERSIONS):
+        raise HeadError("the version of the protocol is not HTTP/1")
     if any(line[:1] in (b" ", b"\t") for line in lines[1:]):
         raise HeadError("a header line is folded")
     names = [line.partition(b":")[0].lower() for line in lines[1:]]
--- /dev/null
+++ b/packages/httpio/tests/test_acceptor.py
@@ -0,0 +1,121 @@
+"""Tests of the server that reads requests strictly."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from sardineyard.core.address import Address
+from sardineyard.core.errors import ANSWERS
+from sardineyard.httpio.acceptor import Acceptor, AcceptLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.core.errors import ErrorKind
+    from sardineyard.httpio.acceptor import Answer, IncomingRequest
+
+LIMITS = AcceptLimits(1_024, 4_096, 0.3, 0.6)
+Talk = "Callable[[bytes], bytes]"
+
+
+@pytest.fixture
+def talk() -> Callable[..., bytes]:
+    """Return a function that sends bytes and returns all that comes back."""
+
+    async def handle(request: IncomingRequest, answer: Answer) -> None:
+        await answer.send(200, [], request.method + b" " + request.body)
+
+    async def refuse(kind: ErrorKind, detail: str, answer: Answer) -> None:
+        await answer.send(ANSWERS[kind].status.value, [], detail.encode())
+
+    def send(*pieces: bytes, pause_s: float = 0.0) -> bytes:
+        async def play() -> bytes:
+            acceptor = Acceptor(
+                Address("127.0.0.1", 0), handle, refuse, lambda: LIMITS, 10
+            )
+            await acceptor.start()
+            reader, writer = await asyncio.open_connection("127.0.0.1", acceptor.port)
+            try:
+                for piece in pieces:
+                    writer.write(piece)
+                    await asyncio.sleep(pause_s)
+                async with asyncio.timeout(5.0):
+                    return await reader.read()
+            finally:
+                writer.close()
+                await acceptor.close()
+
+        return asyncio.run(play())
+
+    return send
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"GET / HTTP/1.1\nhost: a\n\n",
+        b"GET / HTTP/1.1\r\nhost: a\r\nx: b\r\n folded\r\n\r\n",
+        b"GET / HTTP/1.1\r\nhost: a\nx: b\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+        b"transfer-encoding: chunked\r\n\r\n",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        b"GET / HTTP/1.1\r\nhost : a\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_an_ambiguous_or_malformed_head_is_refused(
+    talk: Callable[..., bytes], head: bytes
+) -> None:
+    """Guards against a request that two parties read in two ways."""
+    assert talk(head).startswith(b"HTTP/1.1 400 ")
+
+
+def test_a_refused_body_does_not_destroy_the_answer(
+    talk: Callable[..., bytes],
+) -> None:
+    """Guards against a reset that reaches the client before the 413."""
+    head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 900000\r\n\r\n"
+    assert talk(head + b"x" * 900_000).startswith(b"HTTP/1.1 413 ")
+
+
+@pytest.mark.parametrize("size", [1, 3, 50])
+def test_a_chunked_body_is_whole_however_it_arrives(
+    talk: Callable[..., bytes], size: int
+) -> None:
+    """Guards against a body that is cut at a packet's end."""
+    data = (
+        b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
+        b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    pieces = [data[start : start + size] for start in range(0, len(data), size)]
+    assert talk(*pieces).endswith(b"POST abcde")
+
+
+def test_requests_that_come_together_are_answered_in_turn(
+    talk: Callable[..., bytes],
+) -> None:
+    """Guards against a second request that is lost in the buffer of the first."""
+    first = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\n1"
+    last = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+    answer = talk(first + last)
+    assert answer.count(b"HTTP/1.1 200 ") == 2
+    assert answer.index(b"POST 1") < answer.index(b"GET ")
+
+
+def test_a_slow_head_is_refused(talk: Callable[..., bytes]) -> None:
+    """Guards against connections that are held by clients which send nothing."""
+    assert talk(b"GET / HTT").startswith(b"HTTP/1.1 408 ")
+
+
+def test_a_head_over_the_limit_is_refused(talk: Callable[..., bytes]) -> None:
+    """Guards against memory that one client takes with its headers."""
+    head = b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 2_000 + b"\r\n\r\n"
+    assert talk(head).startswith(b"HTTP/1.1 431 ")
+
+
+def test_an_idle_connection_is_closed(talk: Callable[..., bytes]) -> None:
+    """Guards against idle connections that use up the descriptors."""
+    assert talk() == b""
