--- a/packages/catalog/src/sardineyard/catalog/follower.py
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -120,7 +120,7 @@
                 mailbox.offer(ConfigArrived(newest, "store"))
                 await asyncio.sleep(pace.pause_s)
         except StoreError as error:
-            if error.failure is StoreFailure.HISTORY_LOST:
+            if error.failure is StoreFailure.HISTORY_LOST and revision is not None:
                 _log_history_lost("config", revision)
                 revision = None
             else:
@@ -151,7 +151,7 @@
                 if changes.changes:
                     await asyncio.sleep(pace.pause_s)
         except StoreError as error:
-            if error.failure is StoreFailure.HISTORY_LOST:
+            if error.failure is StoreFailure.HISTORY_LOST and revision is not None:
                 _log_history_lost("upstreams", revision)
                 revision = None
             else:
