--- a/packages/catalog/src/sardineyard/catalog/beacons.py
+++ b/packages/catalog/src/sardineyard/catalog/beacons.py
@@ -13,11 +13,12 @@
 import msgspec
 
 from sardineyard.catalog.messages import PeerLoads
-from sardineyard.core.address import Address, parse_address
+from sardineyard.core.address import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
     from sardineyard.core.mailbox import Mailbox
 
--- a/packages/catalog/src/sardineyard/catalog/follower.py
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -19,7 +19,7 @@
 
     from sardineyard.core.clock import Clock
     from sardineyard.core.mailbox import Mailbox
-    from sardineyard.forwarding.source import CatalogStore
+    from sardineyard.forwarding.source import CatalogStore, ConfigRead
 
 _logger = logging.getLogger(__name__)
 
@@ -111,7 +111,8 @@
                 if read is None:
                     await asyncio.sleep(_NO_CONFIG_PAUSE_S)
                     continue
-                newest, revision = read, read.revision
+                newest: ConfigRead | None = read
+                revision = read.revision
             else:
                 changes = await store.watch_config(revision, pace.next_watch_s())
                 contact.succeeded()
--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -20,8 +20,8 @@
     UpstreamsListed,
 )
 from sardineyard.core.mailbox import Mailbox
-from sardineyard.forwarding.source import UpstreamRead
 from sardineyard.forwarding.listing import ListingTable
+from sardineyard.forwarding.source import UpstreamRead
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
@@ -144,7 +144,8 @@
         return self._store.decode_upstream(item.id, item.raw, item.revision)
 
     def _news(self, lacking: PeerNews | None = None) -> PeerNews:
-        config, upstreams = None, ()
+        config: bytes | None = None
+        upstreams: tuple[UpstreamNews, ...] = ()
         if lacking is not None:
             if self._config is not None and lacking.config_version < self._version:
                 config = self._config.raw
@@ -203,4 +204,3 @@
             and before.config is changed.config
             and before.upstreams == changed.upstreams
         )
-
--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -18,7 +18,6 @@
 from sardineyard.core.mailbox import Reply
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from random import Random
 
     from grpclib.server import Stream
@@ -221,9 +220,7 @@
             if peer.channel is None:
                 address = parse_address(peer.address)
                 peer.channel = Channel(address.host, address.port, codec=NewsCodec())
-            method = UnaryUnaryMethod(
-                peer.channel, EXCHANGE_METHOD, PeerNews, PeerNews
-            )
+            method = UnaryUnaryMethod(peer.channel, EXCHANGE_METHOD, PeerNews, PeerNews)
             async with asyncio.timeout(_CALL_TIMEOUT_S):
                 answer: PeerNews = await method(news)
         except _ERRORS as error:
--- a/packages/catalog/tests/test_keeper.py
+++ b/packages/catalog/tests/test_keeper.py
@@ -24,10 +24,12 @@
 
 
 def config(version: int) -> ForwardingConfig:
+    """Return an empty configuration of a version."""
     return ForwardingConfig(version, (), {}, ())
 
 
 def entry(id: str) -> UpstreamEntry:
+    """Return the entry of an upstream."""
     return UpstreamEntry(
         id, SERVICE, "127.0.0.1", 80, FailureDomain("a"), 4, UpstreamPhase.READY
     )
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -22,6 +22,7 @@
 
 
 def free_port() -> int:
+    """Return a port on which nothing listens."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return int(probe.getsockname()[1])
--- a/packages/experts/src/sardineyard/experts/group.py
+++ b/packages/experts/src/sardineyard/experts/group.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from enum import Enum, unique
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
-from sardineyard.core.ids import ExpertIndex, FencingNumber, RankIndex, StepNumber
+from sardineyard.core.ids import ExpertIndex, RankIndex, StepNumber
 from sardineyard.experts.maps import MapVersion
 
+if TYPE_CHECKING:
+    from sardineyard.core.ids import FencingNumber
+
 # Experts of each rank, and of each rank for each set of layers.
 Placement = tuple[tuple[ExpertIndex, ...], ...]
 Layout = tuple[Placement, ...]
--- a/packages/experts/src/sardineyard/experts/leveling.py
+++ b/packages/experts/src/sardineyard/experts/leveling.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from sardineyard.core.ids import ExpertIndex
 from sardineyard.experts.maps import moved_replicas, step_skew
-from sardineyard.experts.refine import Refiner, RefineLimits
+from sardineyard.experts.refine import RefineLimits, Refiner
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sardineyard.core.ids import ExpertIndex
     from sardineyard.experts.group import Layout
 
 # Skew at which the search of a set ends: a smaller one costs more copies than it
@@ -69,9 +69,7 @@
     return sum(skews) / len(skews)
 
 
-def level(
-    shape: GroupShape, layout: Layout, loads: Sequence[float]
-) -> Leveling | None:
+def level(shape: GroupShape, layout: Layout, loads: Sequence[float]) -> Leveling | None:
     """Return a layout with less skew; None where the one in use is level enough."""
     before = mean_skew(shape, layout, loads)
     if before < _TRIGGER:
--- a/packages/experts/src/sardineyard/experts/switch.py
+++ b/packages/experts/src/sardineyard/experts/switch.py
@@ -14,16 +14,14 @@
 from enum import Enum, unique
 from typing import TYPE_CHECKING, Protocol
 
-from sardineyard.core.clock import Deadline, deadline_after
-from sardineyard.core.ids import RankIndex, StepNumber
+from sardineyard.core.clock import deadline_after
+from sardineyard.core.ids import StepNumber
 from sardineyard.experts.group import (
     ArmMap,
     DisarmMap,
     HoldStep,
-    MapOrder,
     OrderResult,
     PrepareMap,
-    RankReport,
     ReleaseStep,
 )
 from sardineyard.experts.maps import MapVersion
@@ -31,8 +29,13 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from sardineyard.core.clock import Clock
-    from sardineyard.experts.group import Layout
+    from sardineyard.core.clock import Clock, Deadline
+    from sardineyard.core.ids import RankIndex
+    from sardineyard.experts.group import (
+        Layout,
+        MapOrder,
+        RankReport,
+    )
 
 _logger = logging.getLogger(__name__)
 
@@ -272,10 +275,7 @@
         for _ in range(_HOLD_TRIES):
             newest = MapVersion(newest + _VERSION_STEP)
             done = await asyncio.gather(
-                *(
-                    self._neutralize(rank, newest, current)
-                    for rank in self._port.ranks
-                )
+                *(self._neutralize(rank, newest, current) for rank in self._port.ranks)
             )
             if all(done):
                 for holder, step in held.items():
@@ -342,9 +342,7 @@
         }
 
 
-def _log_refused(
-    rank: RankIndex, order: PrepareMap, report: RankReport | None
-) -> None:
+def _log_refused(rank: RankIndex, order: PrepareMap, report: RankReport | None) -> None:
     _logger.warning(
         "a rank refused to prepare a map",
         extra={
--- a/packages/experts/tests/test_switch.py
+++ b/packages/experts/tests/test_switch.py
@@ -262,6 +262,7 @@
 
 
 async def change(switch: MapSwitch, version: int = 1, turn: int = 1) -> SwitchResult:
+    """Change the map to a turned layout."""
     return await switch.change(
         MapVersion(version), layout(turn), layout(0), RankIndex(0)
     )
--- a/packages/forwarding/src/sardineyard/forwarding/admission.py
+++ b/packages/forwarding/src/sardineyard/forwarding/admission.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from sardineyard.core.clock import Deadline
 from sardineyard.core.errors import ErrorKind, RequestError
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from returns.result import Result
+
     from sardineyard.core.ids import ServiceName, TeamId
     from sardineyard.forwarding.config import ForwardingConfig, Route
     from sardineyard.forwarding.messages import RequestFacts
--- a/packages/forwarding/src/sardineyard/forwarding/health.py
+++ b/packages/forwarding/src/sardineyard/forwarding/health.py
@@ -28,10 +28,13 @@
 _MAX_EJECTED_SHARE = 0.34
 
 
+_NEVER = Deadline(float("-inf"))
+
+
 @dataclass(slots=True)
 class _Health:
     failure_rate: float = 0.0
-    ejected_until: Deadline = Deadline(0.0)
+    ejected_until: Deadline = _NEVER
     ejections: int = 0
 
 
--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -7,13 +7,13 @@
 from enum import Enum, unique
 from typing import TYPE_CHECKING
 
-from sardineyard.core.clock import NO_DEADLINE, Deadline, deadline_after
+from sardineyard.core.clock import NO_DEADLINE, deadline_after
 from sardineyard.forwarding.config import UpstreamPhase
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sardineyard.core.clock import Clock
+    from sardineyard.core.clock import Clock, Deadline
     from sardineyard.core.ids import ServiceName
     from sardineyard.forwarding.config import UpstreamEntry
     from sardineyard.forwarding.source import UpstreamRead, UpstreamSnapshot
@@ -93,7 +93,11 @@
         self.merge(snapshot.entries, snapshot.revision, after_outage=after_outage)
 
     def merge(
-        self, reads: Iterable[UpstreamRead], revision: int, *, after_outage: bool = False
+        self,
+        reads: Iterable[UpstreamRead],
+        revision: int,
+        *,
+        after_outage: bool = False,
     ) -> None:
         """Adopt changes that are complete up to a revision."""
         for read in reads:
@@ -133,9 +137,7 @@
             else Listing.LISTED
         )
         self._removed.pop(read.id, None)
-        self._records[read.id] = UpstreamRecord(
-            entry, listing, read.revision, read.raw
-        )
+        self._records[read.id] = UpstreamRecord(entry, listing, read.revision, read.raw)
         if known is None or known.listing is not listing or known.entry != entry:
             _log(read, listing.value)
 
--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -6,7 +6,7 @@
 from enum import Enum, unique
 from typing import TYPE_CHECKING, NewType
 
-from sardineyard.core.clock import Deadline, remaining
+from sardineyard.core.clock import remaining
 from sardineyard.forwarding.config import ServiceProfile
 from sardineyard.forwarding.passes import PassModel
 
@@ -14,7 +14,7 @@
     from collections.abc import Mapping, Sequence
     from random import Random
 
-    from sardineyard.core.clock import Clock
+    from sardineyard.core.clock import Clock, Deadline
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.config import UpstreamEntry
 
--- a/packages/forwarding/tests/test_admission.py
+++ b/packages/forwarding/tests/test_admission.py
@@ -22,6 +22,7 @@
 
 
 def kind_of(result: object) -> ErrorKind:
+    """Return the error kind of a refusal."""
     return result.failure().kind  # type: ignore[attr-defined]
 
 
--- a/packages/forwarding/tests/test_budget.py
+++ b/packages/forwarding/tests/test_budget.py
@@ -15,6 +15,7 @@
 
 
 def spend(budget: RepeatBudget) -> int:
+    """Take all repeats that are left and return their number."""
     count = 0
     while budget.take(SERVICE):
         count += 1
--- a/packages/forwarding/tests/test_listing.py
+++ b/packages/forwarding/tests/test_listing.py
@@ -25,6 +25,7 @@
 
 
 def usable(table: ListingTable) -> set[str]:
+    """Return the ids of the upstreams that may get work."""
     return {entry.id for entry in table.usable(SERVICE)}
 
 
--- a/packages/forwarding/tests/test_places.py
+++ b/packages/forwarding/tests/test_places.py
@@ -7,13 +7,14 @@
 
 import pytest
 
-from sardineyard.core.clock import Deadline, ManualClock
+from sardineyard.core.clock import Deadline
 from sardineyard.core.ids import FailureDomain, ServiceName
 from sardineyard.forwarding.places import Place, PlaceBook, Refusal, Refused, TicketId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sardineyard.core.clock import ManualClock
     from sardineyard.forwarding.config import UpstreamEntry
     from sardineyard.forwarding.places import PlaceRequest
 
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -122,9 +122,7 @@
     ) -> CallOutcome:
         request = self._request
         try:
-            connection.send(
-                request.method, request.target, self._headers, request.body
-            )
+            connection.send(request.method, request.target, self._headers, request.body)
         except OSError as error:
             # The connection was closed before anything was written.
             self._progress.unreachable += 1
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -30,7 +30,7 @@
 from sardineyard.gateway.dispatcher import Dispatcher
 from sardineyard.gateway.forwarder import Forwarder
 from sardineyard.gateway.messages import DumpGateway
-from sardineyard.httpio.acceptor import Acceptor, AcceptLimits
+from sardineyard.httpio.acceptor import AcceptLimits, Acceptor
 from sardineyard.httpio.messages import HttpLimits
 from sardineyard.httpio.server import HttpServer
 
@@ -138,7 +138,10 @@
             settings.ready_address, self._answer_ready, _refuse_bad, HttpLimits()
         )
         self._admin = AdminServer(
-            settings.admin_address, lambda: self.is_ready, self._dump, self._render_metrics
+            settings.admin_address,
+            lambda: self.is_ready,
+            self._dump,
+            self._render_metrics,
         )
 
     @property
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -11,7 +11,7 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.budget import RepeatBudget
 from sardineyard.forwarding.health import HealthTable
-from sardineyard.forwarding.places import Place, PlaceBook, Refused
+from sardineyard.forwarding.places import Place, PlaceBook
 from sardineyard.gateway.messages import (
     AskPlace,
     AskRepeat,
@@ -31,7 +31,7 @@
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.budget import BudgetRules
     from sardineyard.forwarding.config import UpstreamEntry
-    from sardineyard.forwarding.places import TicketId
+    from sardineyard.forwarding.places import Refused, TicketId
     from sardineyard.telemetry.gateway_metrics import GatewayMetrics
 
 _logger = logging.getLogger(__name__)
@@ -149,9 +149,7 @@
                 config_version=None if config is None else config.version,
                 upstream_revision=self._catalog.revision,
                 processes=self._processes,
-                services={
-                    str(name): self._view(name) for name in self._book.services
-                },
+                services={str(name): self._view(name) for name in self._book.services},
                 in_flight=self._book.own_in_flight,
             )
         )
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -13,7 +13,7 @@
 from sardineyard.forwarding.messages import ForwardOrders
 from sardineyard.forwarding.places import Place, PlaceRequest, Refusal, TicketId
 from sardineyard.gateway.attempts import CallOutcome, Next, Progress
-from sardineyard.gateway.call import StoredFailure, UpstreamCall
+from sardineyard.gateway.call import UpstreamCall
 from sardineyard.gateway.dispatcher import ask_repeat
 from sardineyard.gateway.messages import AskPlace, ReleasePlace
 from sardineyard.gateway.refusals import send_refusal
@@ -27,6 +27,7 @@
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.messages import MessageCodec
     from sardineyard.forwarding.places import Refused
+    from sardineyard.gateway.call import StoredFailure
     from sardineyard.gateway.connections import UpstreamConnections
     from sardineyard.httpio.acceptor import Answer, IncomingRequest
     from sardineyard.telemetry.gateway_metrics import GatewayMetrics
@@ -187,7 +188,7 @@
         )
 
     def _attempt_timeout_s(self) -> float | None:
-        """Return the time for the head of the answer; None where only one call is made."""
+        """Return the time for the head of the answer; None without another call."""
         progress, route = self._progress, self._admitted.route
         is_last = progress.sent + 1 >= progress.max_upstreams
         if route.is_stream or is_last or not progress.is_repeatable:
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -25,7 +25,6 @@
 from sardineyard.settings.gateway import GatewaySettings
 from sardineyard.standins.gateway_world import (
     MemoryStore,
-    Peer,
     PlainHeaders,
     ScriptedUpstream,
 )
@@ -34,10 +33,15 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from sardineyard.standins.gateway_world import (
+        Peer,
+    )
+
 SERVICE = ServiceName("desk")
 
 
 def route(prefix: str, repetition: Repetition, **fields: Any) -> Route:
+    """Return a route with a path prefix."""
     values: dict[str, Any] = {
         "name": prefix,
         "host": "desk.example",
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -20,17 +20,20 @@
 
 
 async def serve(peer: Peer) -> None:
+    """Answer every request."""
     while request := await peer.receive():
         is_stream = b" /stream/" in request.head
         peer.answer(request, b"id: 1\ndata: a\n\n" if is_stream else b"ok")
 
 
 async def hang(peer: Peer) -> None:
-    while await peer.receive():
-        await asyncio.sleep(30)
+    """Read requests and never answer."""
+    await peer.receive()
+    await asyncio.Event().wait()
 
 
 async def reset(peer: Peer) -> None:
+    """Break the connection off at its first request."""
     await peer.receive()
     peer.reset()
 
--- a/packages/httpio/src/sardineyard/httpio/acceptor.py
+++ b/packages/httpio/src/sardineyard/httpio/acceptor.py
@@ -11,12 +11,13 @@
 import h11
 
 from sardineyard.core.errors import ErrorKind
-from sardineyard.httpio.fields import HeaderList, find
+from sardineyard.httpio.fields import find
 from sardineyard.httpio.head_check import HeadError, check_head, head_length
 from sardineyard.httpio.link import SocketLink
 
 if TYPE_CHECKING:
     from sardineyard.core.address import Address
+    from sardineyard.httpio.fields import HeaderList
 
 _logger = logging.getLogger(__name__)
 
@@ -252,9 +253,7 @@
             return False
         if request is None:
             return False
-        answer = Answer(
-            http, self._link, lambda: self._acceptor.closes_after_answer
-        )
+        answer = Answer(http, self._link, lambda: self._acceptor.closes_after_answer)
         await self._run_handler(request, answer)
         self._is_idle = True
         if not answer.is_finished:
--- a/packages/httpio/src/sardineyard/httpio/call.py
+++ b/packages/httpio/src/sardineyard/httpio/call.py
@@ -7,11 +7,12 @@
 
 import h11
 
-from sardineyard.httpio.fields import HeaderList, find, keep_alive_timeout_s
+from sardineyard.httpio.fields import find, keep_alive_timeout_s
 from sardineyard.httpio.link import connect
 
 if TYPE_CHECKING:
     from sardineyard.core.address import Address
+    from sardineyard.httpio.fields import HeaderList
     from sardineyard.httpio.link import SocketLink
 
 # Connecting within a region takes 2 ms; one lost packet delays it by a second.
--- a/packages/httpio/tests/test_acceptor.py
+++ b/packages/httpio/tests/test_acceptor.py
@@ -9,7 +9,7 @@
 
 from sardineyard.core.address import Address
 from sardineyard.core.errors import ANSWERS
-from sardineyard.httpio.acceptor import Acceptor, AcceptLimits
+from sardineyard.httpio.acceptor import AcceptLimits, Acceptor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -6,7 +6,8 @@
 import logging
 from typing import TYPE_CHECKING
 
-from sardineyard.core.ids import FencingNumber, Incarnation, RankIndex, UpstreamId
+from sardineyard.catalog.messages import CatalogChanged
+from sardineyard.core.ids import FencingNumber, Incarnation, UpstreamId
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.experts.leveling import (
     GroupShape,
@@ -24,19 +25,19 @@
     SwitchResult,
 )
 from sardineyard.rebalancer.members import GroupMembers, Member, OwnMember
-from sardineyard.rebalancer.messages import GatherReply, GatherRequest, GroupDump
+from sardineyard.rebalancer.messages import GatherRequest, GroupDump
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from sardineyard.catalog.messages import CatalogChanged
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
-    from sardineyard.core.ids import ServiceName
+    from sardineyard.core.ids import RankIndex, ServiceName
     from sardineyard.experts.group import GroupRunner, Layout, RankReport
     from sardineyard.experts.leveling import Leveling
     from sardineyard.forwarding.config import EngineProfile, UpstreamEntry
     from sardineyard.rebalancer.local_rank import LocalRank
+    from sardineyard.rebalancer.messages import GatherReply
     from sardineyard.telemetry.rebalancer_metrics import RebalancerMetrics
 
 _logger = logging.getLogger(__name__)
@@ -77,7 +78,7 @@
         clock: Clock,
         metrics: RebalancerMetrics,
     ) -> None:
-        self.mailbox: Mailbox[CatalogChanged] = Mailbox()
+        self.mailbox: Mailbox[object] = Mailbox()
         self._service = service
         self._own_host = own_host
         self._group_port = group_port
@@ -129,6 +130,8 @@
 
     def _take_news(self) -> None:
         while (news := self.mailbox.take()) is not None:
+            if not isinstance(news, CatalogChanged):
+                raise TypeError(f"unexpected message {type(news).__name__}")
             if news.config is not None:
                 profile = news.config.services.get(self._service)
                 self._engine = profile.engine if profile is not None else None
@@ -190,9 +193,9 @@
         fence = self._fence
         assert fence is not None
         self._rounds += 1
-        if self._layout is None or self._rounds % _ROUNDS_PER_REPORT == 0:
-            if not await self._read_group(engine, fence):
-                return
+        reads_all = self._layout is None or self._rounds % _ROUNDS_PER_REPORT == 0
+        if reads_all and not await self._read_group(engine, fence):
+            return
         counts = await self._gather(
             list(self._group.values()),
             GatherRequest(fence, with_report=False, with_counts=True),
--- a/packages/rebalancer/src/sardineyard/rebalancer/members.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/members.py
@@ -15,7 +15,6 @@
     GatherReply,
     GatherRequest,
     OrderAsked,
-    OrderReply,
     OrderRequest,
 )
 from sardineyard.rebalancer.service import RankChannel
@@ -28,6 +27,9 @@
     from sardineyard.experts.group import GroupRunner, MapOrder, RankReport
     from sardineyard.forwarding.config import UpstreamEntry
     from sardineyard.rebalancer.local_rank import LocalRank
+    from sardineyard.rebalancer.messages import (
+        OrderReply,
+    )
 
 _logger = logging.getLogger(__name__)
 
--- a/packages/settings/src/sardineyard/settings/gateway.py
+++ b/packages/settings/src/sardineyard/settings/gateway.py
@@ -224,6 +224,4 @@
     text: str,
 ) -> Result[RebalancerSettings, tuple[SettingError, ...]]:
     """Read the settings of a rebalancer from INI text."""
-    return read(text, REBALANCER_OPTIONS).map(
-        lambda found: RebalancerSettings(**found)
-    )
+    return read(text, REBALANCER_OPTIONS).map(lambda found: RebalancerSettings(**found))
--- a/packages/standins/src/sardineyard/standins/gateway_world.py
+++ b/packages/standins/src/sardineyard/standins/gateway_world.py
@@ -9,15 +9,12 @@
 from sardineyard.core.ids import RequestId
 from sardineyard.forwarding.messages import (
     AnswerFacts,
-    ForwardOrders,
-    HeaderList,
     RequestFacts,
 )
 from sardineyard.forwarding.source import (
     ConfigChanges,
     ConfigRead,
     StoreError,
-    StoreFailure,
     UpstreamChanges,
     UpstreamRead,
     UpstreamSnapshot,
@@ -28,6 +25,13 @@
     from collections.abc import Awaitable, Callable
 
     from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
+    from sardineyard.forwarding.messages import (
+        ForwardOrders,
+        HeaderList,
+    )
+    from sardineyard.forwarding.source import (
+        StoreFailure,
+    )
 
 
 class MemoryStore:
