--- a/packages/daemon/src/sardineyard/daemon/lifecycle.py
+++ b/packages/daemon/src/sardineyard/daemon/lifecycle.py
@@ -6,7 +6,7 @@
 import logging
 import signal
 from enum import IntEnum, unique
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, runtime_checkable
 
 from sardineyard.core.clock import deadline_after, remaining
 
@@ -45,6 +45,14 @@
         """Return when a task has failed."""
 
 
+@runtime_checkable
+class Reloadable(Protocol):
+    """Describe a daemon that can adopt changed settings while it runs."""
+
+    def reload(self) -> None:
+        """Read the settings again."""
+
+
 class _StopSignals:
     """Count the stop signals that arrive."""
 
@@ -64,6 +72,9 @@
 async def run_daemon(daemon: Daemon, clock: Clock, drain_timeout_s: float) -> ExitCode:
     """Run a daemon until it is told to stop or a task fails."""
     signals = _StopSignals()
+    # Without a handler the signal would end the process.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, _reload, daemon)
     await daemon.start()
     _logger.info("ready for work", extra={"event": "started"})
     if await _first_of(signals.first.wait(), daemon.wait_failed()) == 1:
@@ -87,6 +98,16 @@
     return ExitCode.STOPPED
 
 
+def _reload(daemon: Daemon) -> None:
+    can_reload = isinstance(daemon, Reloadable)
+    _logger.info(
+        "told to read the settings again",
+        extra={"event": "reload", "supported": can_reload},
+    )
+    if isinstance(daemon, Reloadable):
+        daemon.reload()
+
+
 async def _first_of(*coroutines: Coroutine[Any, Any, Any]) -> int:
     """Wait for the first of several coroutines and return its index."""
     loop = asyncio.get_running_loop()
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -44,7 +44,7 @@
 
 # Pause between two readings of the group. What is popular shifts every few seconds,
 # and a reading costs each rank a millisecond.
-_ROUND_S = 0.25
+_ROUND_S = 0.35
 # Rounds between two readings of all reports; the others read the counts alone.
 _ROUNDS_PER_REPORT = 4
 # Silence after which the coordinator is taken as gone, with a step for each rank, so
