--- a/packages/forwarding/src/sardineyard/forwarding/admission.py
+++ b/packages/forwarding/src/sardineyard/forwarding/admission.py
@@ -20,6 +20,11 @@
     from sardineyard.forwarding.config import ForwardingConfig, Route
     from sardineyard.forwarding.messages import RequestFacts
 
+# Part of the longest patience that is kept with each request of a route.
+_FADING = 0.9995
+# Smaller parts of the patience are differences between callers, not earlier attempts.
+_LEAST_SPENT = 0.03
+
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
@@ -32,6 +37,29 @@
     priority: int
     deadline: Deadline
     config_version: int
+    # Seconds that the caller spent on earlier attempts at the same request.
+    waited_before_s: float = 0.0
+
+
+class Patience:
+    """Remember how long callers wait on each route when they first ask.
+
+    A caller that comes back after a refusal has less time left than one that asks for
+    the first time, which shows how much it has spent.
+    """
+
+    def __init__(self) -> None:
+        self._longest: dict[str, float] = {}
+
+    def spent_s(self, route: Route, facts: RequestFacts) -> float:
+        """Return the seconds that a caller has spent on earlier attempts."""
+        if facts.patience_s is None:
+            return 0.0
+        # Operators change what callers are told, so what was seen fades.
+        faded = self._longest.get(route.name, 0.0) * _FADING
+        self._longest[route.name] = longest = max(facts.patience_s, faded)
+        spent = longest - facts.patience_s
+        return spent if spent > _LEAST_SPENT * longest else 0.0
 
 
 def resolve(
@@ -41,6 +69,7 @@
     facts: RequestFacts,
     arrived: float,
     rng: Random,
+    patience: Patience | None = None,
 ) -> Result[Admitted, RequestError]:
     """Return route, service, team and deadline of a request, or why it is refused."""
     if config is None:
@@ -53,9 +82,9 @@
         return Failure(RequestError(ErrorKind.UNAUTHENTICATED, "unknown key"))
     if not facts.request_id:
         return Failure(RequestError(ErrorKind.BAD_REQUEST, "no id of the attempt"))
-    patience = route.timeout_s
+    left_s = route.timeout_s
     if facts.patience_s is not None:
-        patience = min(patience, facts.patience_s)
+        left_s = min(left_s, facts.patience_s)
     own_priority = team.priority if team is not None else None
     return Success(
         Admitted(
@@ -64,8 +93,9 @@
             _choose_service(route, rng),
             team.team if team is not None else None,
             route.priority if own_priority is None else own_priority,
-            Deadline(arrived + patience),
+            Deadline(arrived + left_s),
             config.version,
+            patience.spent_s(route, facts) if patience is not None else 0.0,
         )
     )
 
--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -36,6 +36,10 @@
 # Callers wait for at most a third of the time that they have left.
 _RETRY_TIME_LEFT = 0.25
 _LEAST_RETRY_AFTER_S = 0.05
+# Time from a place to the first event before it was measured, and the weight of the
+# newest measurement.
+_USUAL_FIRST_EVENT_S = 0.15
+_FIRST_EVENT_WEIGHT = 0.1
 # Waiting requests for each place of this process.
 _QUEUE_PER_PLACE = 0.8
 _LEAST_QUEUE = 6
@@ -63,6 +67,8 @@
     deadline: Deadline
     target_latency_s: float
     target_pause_s: float
+    # Seconds that the caller spent on earlier attempts at the same request.
+    waited_before_s: float = 0.0
     excluded: frozenset[str] = frozenset()
     # A stream that goes on at another upstream holds a place already.
     is_continuation: bool = False
@@ -98,6 +104,8 @@
     model: PassModel | None
     waiting: list[PlaceRequest] = field(default_factory=list)
     allowed_pause_s: float = 0.0
+    # Mean time from a place to the first event, in seconds.
+    first_event_s: float = _USUAL_FIRST_EVENT_S
 
 
 class PlaceBook:
@@ -152,6 +160,12 @@
         total = sum(self.in_flight(upstream.id) for upstream in upstreams)
         load.model.observe(pause_s, total / len(upstreams))
 
+    def observe_first_event(self, service: ServiceName, seconds: float) -> None:
+        """Take in the time from a place to the first event of a stream."""
+        load = self._services.get(service)
+        if load is not None:
+            load.first_event_s += _FIRST_EVENT_WEIGHT * (seconds - load.first_event_s)
+
     def limit(self, service: ServiceName, upstreams: Sequence[UpstreamEntry]) -> float:
         """Return the requests that the service may run at once."""
         slots = sum(upstream.slots for upstream in upstreams)
@@ -219,7 +233,11 @@
         return load
 
     def _rank(self, request: PlaceRequest) -> tuple[bool, bool, int, float]:
-        late = self._clock.now() - request.arrived > request.target_latency_s
+        # Requests that cannot be on time any more come last: served in the order of
+        # their arrival, a queue that is too long makes every request late.
+        load = self._services[request.service]
+        waited_s = self._clock.now() - request.arrived + request.waited_before_s
+        late = waited_s + load.first_event_s > request.target_latency_s
         return (not request.is_continuation, late, request.priority, request.arrived)
 
     def _find_place(
--- a/packages/forwarding/tests/test_admission.py
+++ b/packages/forwarding/tests/test_admission.py
@@ -9,7 +9,7 @@
 
 from sardineyard.core.errors import ErrorKind
 from sardineyard.core.ids import RequestId, ServiceName
-from sardineyard.forwarding.admission import resolve
+from sardineyard.forwarding.admission import Patience, resolve
 from sardineyard.forwarding.config import WeightedService
 from sardineyard.forwarding.messages import RequestFacts
 
@@ -71,6 +71,18 @@
     assert found.unwrap().deadline == 12.0
 
 
+def test_a_caller_that_comes_back_has_waited_before(
+    make_route: Callable[..., Route],
+) -> None:
+    """Guards against taking an attempt that is late already for a new request."""
+    patience, route = Patience(), make_route()
+    first = RequestFacts(RequestId("r1"), patience_s=8.0)
+    again = RequestFacts(RequestId("r2"), patience_s=5.5)
+    assert patience.spent_s(route, first) == 0.0
+    assert patience.spent_s(route, again) == pytest.approx(2.5, abs=0.01)
+    assert patience.spent_s(route, RequestFacts(RequestId("r3"))) == 0.0
+
+
 def test_a_split_route_follows_its_weights(
     make_config: Callable[..., ForwardingConfig], make_route: Callable[..., Route]
 ) -> None:
--- a/packages/forwarding/tests/test_places.py
+++ b/packages/forwarding/tests/test_places.py
@@ -101,6 +101,25 @@
     assert 0 < decision.retry_after_s <= (8.0 - 1.3) / 3
 
 
+def test_a_request_that_can_be_on_time_goes_before_one_that_cannot(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+    clock: ManualClock,
+) -> None:
+    """Guards against a queue in which every request is served just too late."""
+    book.hear({rank.id: 6 for rank in ranks}, 2)
+    book.observe_first_event(SERVICE, 0.2)
+    book.enqueue(make_request(1))
+    clock.advance(0.4)
+    book.enqueue(make_request(2, waited_before_s=2.0))
+    book.enqueue(make_request(3))
+    assert book.grant(SERVICE, ranks) == []
+    book.hear({rank.id: 2 for rank in ranks}, 2)
+    order = [request.ticket for request, _ in book.grant(SERVICE, ranks)]
+    assert order == [3, 1, 2]
+
+
 def test_a_released_ticket_no_longer_waits(
     book: PlaceBook,
     ranks: list[UpstreamEntry],
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -10,7 +10,12 @@
 from sardineyard.forwarding.config import Repetition
 from sardineyard.forwarding.events import EventParser, MalformedStreamError
 from sardineyard.gateway.attempts import CallOutcome
-from sardineyard.gateway.messages import CallEnded, CallResult, PauseSeen
+from sardineyard.gateway.messages import (
+    CallEnded,
+    CallResult,
+    FirstEventSeen,
+    PauseSeen,
+)
 from sardineyard.httpio.call import CONNECT_TIMEOUT_S, BrokenAnswerError
 from sardineyard.httpio.fields import drop_connection_fields
 
@@ -83,12 +88,12 @@
         self._metrics = metrics
         self._result = CallResult.ABANDONED
         self._facts: AnswerFacts | None = None
+        self._began = clock.now()
         self._reason = ""
         self.failure: StoredFailure | None = None
 
     async def run(self, head_timeout_s: float | None) -> CallOutcome:
         """Make the call and return what is known about the request afterwards."""
-        began = self._clock.now()
         outcome = CallOutcome.UNKNOWN
         connection: CallConnection | None = None
         try:
@@ -100,7 +105,7 @@
         finally:
             if connection is not None:
                 self._connections.give_back(self._upstream, connection)
-            self._report(outcome, self._clock.now() - began)
+            self._report(outcome, self._clock.now() - self._began)
         return outcome
 
     async def _connect(self) -> CallConnection | None:
@@ -227,6 +232,8 @@
         if self._answer.is_started:
             return
         self._first_byte()
+        seconds = self._clock.now() - self._began
+        self._dispatcher.offer(FirstEventSeen(self._admitted.service, seconds))
         self._progress.is_started = True
         await self._to_caller(
             self._answer.start(head.status, drop_connection_fields(head.headers))
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -18,6 +18,7 @@
     CallEnded,
     CallResult,
     DumpGateway,
+    FirstEventSeen,
     PauseSeen,
     ReleasePlace,
     RequestArrived,
@@ -133,6 +134,10 @@
             message.service, message.seconds, self._listed(message.service)
         )
 
+    @_handle.register(FirstEventSeen)
+    def _first_event_seen(self, message: FirstEventSeen) -> None:
+        self._book.observe_first_event(message.service, message.seconds)
+
     @_handle.register(RequestArrived)
     def _request_arrived(self, message: RequestArrived) -> None:
         self._budget.requested(message.service)
--- a/packages/gateway/src/sardineyard/gateway/forwarder.py
+++ b/packages/gateway/src/sardineyard/gateway/forwarder.py
@@ -10,7 +10,7 @@
 
 from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.ids import RequestId
-from sardineyard.forwarding.admission import resolve
+from sardineyard.forwarding.admission import Patience, resolve
 from sardineyard.forwarding.messages import RequestFacts
 from sardineyard.gateway.call import CallerGoneError
 from sardineyard.gateway.messages import RequestArrived
@@ -59,6 +59,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
+        self._patience = Patience()
         self._tickets = count(1)
         self._open: dict[int, RequestId] = {}
 
@@ -110,7 +111,13 @@
     ) -> Result[Admitted, RequestError]:
         host = find(request.headers, b"host").decode("latin-1")
         return resolve(
-            self._config(), host, request.path, facts, request.arrived, self._rng
+            self._config(),
+            host,
+            request.path,
+            facts,
+            request.arrived,
+            self._rng,
+            self._patience,
         )
 
     async def _run(
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sardineyard.core.ids import Fingerprint, RequestId, ServiceName
+    from sardineyard.core.ids import RequestId, ServiceName
     from sardineyard.core.mailbox import Reply
     from sardineyard.forwarding.messages import UpstreamLoad
     from sardineyard.forwarding.places import (
@@ -73,6 +73,14 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class FirstEventSeen:
+    """Report the time from a place to the first event of a stream."""
+
+    service: ServiceName
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class AskRepeat:
     """Ask whether a request may be sent to a further upstream."""
@@ -88,14 +96,6 @@
     service: ServiceName
 
 
-@dataclass(frozen=True, slots=True)
-class AskSuspect:
-    """Ask whether a request has crashed too many upstreams to be run again."""
-
-    fingerprint: Fingerprint
-    reply: Reply[bool]
-
-
 @dataclass(frozen=True, slots=True)
 class DumpGateway:
     """Ask for the state of the dispatcher."""
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -149,6 +149,7 @@
             admitted.deadline,
             admitted.route.target_latency_s,
             admitted.route.target_pause_s if admitted.route.is_stream else 0.0,
+            admitted.waited_before_s,
             frozenset(self._tried),
             self._progress.is_started,
         )
