--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -7,8 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.catalog.messages import CatalogChanged
-from sardineyard.core.ids import FencingNumber, Incarnation, UpstreamId
-from sardineyard.core.mailbox import Mailbox
+from sardineyard.core.ids import FencingNumber, Incarnation, RankIndex, UpstreamId
 from sardineyard.experts.leveling import (
     GroupShape,
     is_whole,
@@ -24,6 +23,8 @@
     MapSwitch,
     SwitchResult,
 )
+from sardineyard.rebalancer.counts import CountsPushed
+from sardineyard.rebalancer.local_rank import PUSH_S
 from sardineyard.rebalancer.members import GroupMembers, Member, OwnMember
 from sardineyard.rebalancer.messages import GatherRequest, GroupDump
 
@@ -32,7 +33,8 @@
 
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
-    from sardineyard.core.ids import RankIndex, ServiceName
+    from sardineyard.core.ids import ServiceName
+    from sardineyard.core.mailbox import Mailbox
     from sardineyard.experts.group import GroupRunner, Layout, RankReport
     from sardineyard.experts.leveling import Leveling
     from sardineyard.forwarding.config import EngineProfile, UpstreamEntry
@@ -42,11 +44,11 @@
 
 _logger = logging.getLogger(__name__)
 
-# Pause between two readings of the group. What is popular shifts every few seconds,
-# and a reading costs each rank a millisecond.
-_ROUND_S = 0.35
-# Rounds between two readings of all reports; the others read the counts alone.
-_ROUNDS_PER_REPORT = 4
+# Rounds between two readings of all reports by calls, which also tell the ranks that
+# the coordinator lives; counts come by datagrams meanwhile.
+_ROUNDS_PER_REPORT = 3
+# Age of counts after which a rank is asked for them.
+_STALE_COUNTS_S = 1.2
 # Silence after which the coordinator is taken as gone, with a step for each rank, so
 # that the next one is the only one to take over. A held group stands still meanwhile.
 _TAKEOVER_S = 0.9
@@ -70,6 +72,7 @@
 
     def __init__(
         self,
+        mailbox: Mailbox[object],
         service: ServiceName,
         own_host: str,
         group_port: int,
@@ -78,7 +81,7 @@
         clock: Clock,
         metrics: RebalancerMetrics,
     ) -> None:
-        self.mailbox: Mailbox[object] = Mailbox()
+        self.mailbox = mailbox
         self._service = service
         self._own_host = own_host
         self._group_port = group_port
@@ -97,6 +100,8 @@
         self._last_version = 0
         self._tracker: LoadTracker | None = None
         self._rounds = 0
+        self._epoch_began = clock.now()
+        self._pushed: dict[RankIndex, tuple[float, CountsPushed]] = {}
         self._group: dict[RankIndex, Member | OwnMember] = {}
         self._reports: dict[RankIndex, RankReport] = {}
         self._skew = 0.0
@@ -123,13 +128,16 @@
             while True:
                 self._take_news()
                 await self._round()
-                await asyncio.sleep(_ROUND_S)
+                await asyncio.sleep(PUSH_S)
         finally:
             for member in self._members.values():
                 member.close()
 
     def _take_news(self) -> None:
         while (news := self.mailbox.take()) is not None:
+            if isinstance(news, CountsPushed):
+                self._pushed[RankIndex(news.rank)] = (self._clock.now(), news)
+                continue
             if not isinstance(news, CatalogChanged):
                 raise TypeError(f"unexpected message {type(news).__name__}")
             if news.config is not None:
@@ -196,17 +204,34 @@
         reads_all = self._layout is None or self._rounds % _ROUNDS_PER_REPORT == 0
         if reads_all and not await self._read_group(engine, fence):
             return
-        counts = await self._gather(
-            list(self._group.values()),
-            GatherRequest(fence, with_report=False, with_counts=True),
-        )
-        self._observe(dict(zip(self._group, counts, strict=True)))
+        await self._ask_silent(fence)
+        self._observe()
         await self._improve(engine, fence)
 
+    async def _ask_silent(self, fence: FencingNumber) -> None:
+        """Ask the ranks for their counts whose datagrams do not arrive."""
+        oldest = self._clock.now() - _STALE_COUNTS_S
+        if self._clock.now() - self._epoch_began < _STALE_COUNTS_S:
+            return
+        silent = [
+            rank
+            for rank in self._group
+            if rank not in self._pushed or self._pushed[rank][0] < oldest
+        ]
+        members = [self._group[rank] for rank in silent]
+        replies = await self._gather(members, GatherRequest(fence, with_counts=True))
+        for rank, reply in zip(silent, replies, strict=True):
+            if reply.counts is not None and reply.report is not None:
+                started_ms = reply.report.started_ms
+                news = CountsPushed(fence, rank, started_ms, reply.counts)
+                self._pushed[rank] = (self._clock.now(), news)
+
     async def _read_group(self, engine: EngineProfile, fence: FencingNumber) -> bool:
         """Read all ranks; return whether the group is whole and nothing is pending."""
         members = list(self._members.values())
-        request = GatherRequest(fence, with_experts=self._layout is None)
+        request = GatherRequest(
+            fence, with_experts=self._layout is None, counts_to=self._own_host
+        )
         replies = await self._gather(members, request)
         group = self._whole_group(list(zip(members, replies, strict=True)))
         if group is None:
@@ -272,6 +297,7 @@
             },
         )
         self._epoch = epoch
+        self._epoch_began = self._clock.now()
         self._layout = None
         self._tracker = LoadTracker(
             self._clock,
@@ -313,19 +339,17 @@
             self._layout = None
         return True
 
-    def _observe(self, replies: dict[RankIndex, GatherReply]) -> None:
+    def _observe(self) -> None:
         assert self._tracker is not None
-        for rank, reply in replies.items():
-            counts = reply.counts
-            if counts is None:
-                continue
-            if counts.epoch != self._epoch:
-                raise EpochEndedError(f"epoch {counts.epoch}")
-            if len(counts.counts) == len(self._tracker.loads):
+        for rank, (_, news) in self._pushed.items():
+            if news.counts.epoch > self._epoch:
+                raise EpochEndedError(f"epoch {news.counts.epoch}")
+            is_current = news.counts.epoch == self._epoch and rank in self._group
+            if is_current and len(news.counts.counts) == len(self._tracker.loads):
                 self._tracker.observe(
                     UpstreamId(str(rank)),
-                    Incarnation(self._reports[rank].started_ms),
-                    counts.counts,
+                    Incarnation(news.started_ms),
+                    news.counts.counts,
                 )
 
     async def _improve(self, engine: EngineProfile, fence: FencingNumber) -> None:
--- /dev/null
+++ b/packages/rebalancer/src/sardineyard/rebalancer/counts.py
@@ -0,0 +1,81 @@
+"""Datagrams by which ranks send their counts to the coordinator.
+
+A reading of all ranks by calls takes a dozen packets a rank; a datagram takes one, and
+a lost one is made up for by the next, as counts only grow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, cast
+
+import msgspec
+
+from sardineyard.experts.group import RankCounts
+
+if TYPE_CHECKING:
+    from sardineyard.core.address import Address
+    from sardineyard.core.mailbox import Mailbox
+
+_logger = logging.getLogger(__name__)
+
+# A datagram over IPv4 holds at most 65,507 bytes; 1,728 counts take about 5 KB.
+_MAX_BYTES = 60_000
+
+
+class CountsPushed(msgspec.Struct, frozen=True):
+    """Carry the counts of one rank to the coordinator with a number."""
+
+    fence: int
+    rank: int
+    started_ms: int
+    counts: RankCounts
+
+
+class CountsSocket(asyncio.DatagramProtocol):
+    """Own the datagram socket of a rebalancer."""
+
+    def __init__(self, address: Address, receiver: Mailbox[object]) -> None:
+        self._address = address
+        self._receiver = receiver
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> None:
+        """Start to listen."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._address.host, self._address.port)
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, message: CountsPushed, host: str) -> None:
+        """Send counts to the rebalancer on a host."""
+        data = msgspec.msgpack.encode(message)
+        if len(data) > _MAX_BYTES:
+            _logger.warning(
+                "the counts do not fit into a datagram",
+                extra={"event": "counts_too_large", "bytes": len(data)},
+            )
+        elif self._transport is not None:
+            self._transport.sendto(data, (host, self._address.port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over the transport (called by asyncio)."""
+        self._transport = cast("asyncio.DatagramTransport", transport)
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        """Pass counts on (called by asyncio)."""
+        try:
+            message = msgspec.msgpack.decode(data, type=CountsPushed)
+        except msgspec.DecodeError as error:
+            _logger.warning(
+                "a datagram holds no counts",
+                extra={"event": "counts_malformed", "reason": str(error)},
+            )
+            return
+        self._receiver.offer(message)
--- a/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
@@ -17,11 +17,12 @@
 from sardineyard.catalog.messages import DumpCatalog
 from sardineyard.catalog.peers import NewsCodec, PeerExchange
 from sardineyard.core.ids import ServiceName
-from sardineyard.core.mailbox import Reply
+from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.core.states import ProcessState
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
 from sardineyard.rebalancer.coordinator import Coordinator
+from sardineyard.rebalancer.counts import CountsSocket
 from sardineyard.rebalancer.local_rank import LocalRank
 from sardineyard.rebalancer.service import RankService
 
@@ -71,8 +72,12 @@
             self._rng,
             _PEER_ROUND_S,
         )
-        self._local = LocalRank(open_runner(settings.upstream_address), clock)
+        news: Mailbox[object] = Mailbox()
+        self._counts = CountsSocket(settings.group_address, news)
+        runner = open_runner(settings.upstream_address)
+        self._local = LocalRank(runner, clock, self._counts)
         self._coordinator = Coordinator(
+            news,
             ServiceName(settings.service),
             settings.upstream_address.host,
             settings.group_address.port,
@@ -101,6 +106,7 @@
             self._tasks.start(name, follow(self._store, mailbox, contact, pace))
         address = self._settings.group_address
         await self._server.start(address.host, address.port)
+        await self._counts.start()
         self._tasks.start("peers", self._exchange.run())
         self._tasks.start("coordinator", self._coordinator.run())
         await self._admin.start()
@@ -119,6 +125,7 @@
     async def close(self) -> list[str]:
         """End all tasks; no request of a caller passes here."""
         self._server.close()
+        self._counts.close()
         await self._admin.close()
         await self._tasks.cancel_all()
         return []
--- a/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from sardineyard.core.clock import Deadline, deadline_after
 from sardineyard.core.ids import FencingNumber
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.experts.group import OrderResult
+from sardineyard.rebalancer.counts import CountsPushed
 from sardineyard.rebalancer.messages import (
     GatherAsked,
     GatherReply,
@@ -19,21 +22,33 @@
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
     from sardineyard.experts.group import GroupRunner, RankReport
+    from sardineyard.rebalancer.counts import CountsSocket
     from sardineyard.rebalancer.messages import OrderRequest
 
 _logger = logging.getLogger(__name__)
 
+# Pause between two datagrams with counts. What is popular shifts every few seconds.
+PUSH_S = 0.3
+# Time for which counts are sent after the coordinator asked for them.
+_PUSH_FOR_S = 4.0
+
 
 class LocalRank:
     """Read the runner and give it the orders of the newest coordinator."""
 
-    def __init__(self, runner: GroupRunner, clock: Clock) -> None:
+    def __init__(
+        self, runner: GroupRunner, clock: Clock, counts_socket: CountsSocket
+    ) -> None:
         self.mailbox: Mailbox[object] = Mailbox()
         self._runner = runner
         self._clock = clock
         self._known_fence = FencingNumber(0)
         self._heard_at = clock.now()
         self._report: RankReport | None = None
+        self._counts_socket = counts_socket
+        self._counts_to = ""
+        self._counts_until = Deadline(0.0)
+        self._push_at = Deadline(0.0)
 
     @property
     def known_fence(self) -> FencingNumber:
@@ -61,10 +76,34 @@
         """Handle messages until cancelled."""
         try:
             while True:
-                await self._handle(await self.mailbox.receive())
+                await self._push_counts()
+                try:
+                    async with asyncio.timeout(self._next_push_s()):
+                        message = await self.mailbox.receive()
+                except TimeoutError:
+                    continue
+                await self._handle(message)
         finally:
             self._runner.close()
 
+    def _next_push_s(self) -> float | None:
+        if self._clock.now() >= self._counts_until:
+            return None
+        return max(0.0, self._push_at - self._clock.now())
+
+    async def _push_counts(self) -> None:
+        now = self._clock.now()
+        report = self._report
+        if now >= self._counts_until or now < self._push_at or report is None:
+            return
+        self._push_at = deadline_after(self._clock, PUSH_S)
+        counts = await self._runner.counts()
+        if counts is not None:
+            self._counts_socket.send(
+                CountsPushed(self._known_fence, report.rank, report.started_ms, counts),
+                self._counts_to,
+            )
+
     @singledispatchmethod
     async def _handle(self, message: object) -> None:
         raise TypeError(f"unexpected message {type(message).__name__}")
@@ -75,10 +114,13 @@
         if not self._accepts(request.fence):
             message.reply.send(GatherReply(self._known_fence))
             return
+        if request.counts_to:
+            self._counts_to = request.counts_to
+            self._counts_until = deadline_after(self._clock, _PUSH_FOR_S)
         message.reply.send(
             GatherReply(
                 self._known_fence,
-                await self.refresh() if request.with_report else None,
+                await self.refresh(),
                 await self._runner.counts() if request.with_counts else None,
                 await self._runner.experts() if request.with_experts else None,
             )
--- a/packages/rebalancer/src/sardineyard/rebalancer/members.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/members.py
@@ -65,7 +65,7 @@
             self._go_direct()
         return GatherReply(
             request.fence,
-            await self._runner.report() if request.with_report else None,
+            await self._runner.report(),
             await self._runner.counts() if request.with_counts else None,
             await self._runner.experts() if request.with_experts else None,
         )
--- a/packages/rebalancer/src/sardineyard/rebalancer/messages.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/messages.py
@@ -28,9 +28,11 @@
     """Ask a rank for its state, in the name of the coordinator with a number."""
 
     fence: FencingNumber
-    with_report: bool = True
     with_counts: bool = False
     with_experts: bool = False
+    # Host of the coordinator, to which the rank sends its counts for some seconds;
+    # empty where it shall not.
+    counts_to: str = ""
 
 
 class GatherReply(msgspec.Struct, frozen=True):
