--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -89,6 +89,8 @@
         self._result = CallResult.ABANDONED
         self._facts: AnswerFacts | None = None
         self._began = clock.now()
+        self._first_event_s: float | None = None
+        self._longest_pause_s = 0.0
         self._reason = ""
         self.failure: StoredFailure | None = None
 
@@ -232,7 +234,7 @@
         if self._answer.is_started:
             return
         self._first_byte()
-        seconds = self._clock.now() - self._began
+        seconds = self._first_event_s = self._clock.now() - self._began
         self._dispatcher.offer(FirstEventSeen(self._admitted.service, seconds))
         self._progress.is_started = True
         await self._to_caller(
@@ -245,6 +247,7 @@
 
     def _pause(self, seconds: float) -> None:
         self._metrics.pause(self._admitted.priority, seconds)
+        self._longest_pause_s = max(self._longest_pause_s, seconds)
         self._dispatcher.offer(PauseSeen(self._admitted.service, seconds))
 
     async def _to_caller(self, writing: object) -> None:
@@ -287,8 +290,14 @@
                 "status": facts.status if facts else None,
                 "faulty_upstream": facts.faulty_upstream if facts else "",
                 "events": self._events.count,
+                "first_event_ms": _ms(self._first_event_s),
+                "longest_pause_ms": _ms(self._longest_pause_s),
                 "reason": self._reason,
                 "config_version": self._admitted.config_version,
-                "call_ms": round(seconds * 1000, 1),
+                "call_ms": _ms(seconds),
             },
         )
+
+
+def _ms(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds * 1000, 1)
