Explain a request from logs, check settings of the new programs, bound the logs

Change: the commands explain, gateway and rebalancer; examples and the page of settings; the count of lines that were left out names each event once.

--- a/packages/cli/src/sardineyard/cli/app.py
+++ b/packages/cli/src/sardineyard/cli/app.py
@@ -11,9 +11,15 @@
 
 from sardineyard.cli.config import ConfigCheck, ConfigDiff, ConfigShow
 from sardineyard.cli.console import ConsoleCommand
-from sardineyard.cli.daemons import AgentCommand, EntryCommand
+from sardineyard.cli.daemons import (
+    AgentCommand,
+    EntryCommand,
+    GatewayCommand,
+    RebalancerCommand,
+)
 from sardineyard.cli.demo import DemoCommand
 from sardineyard.cli.exits import ExitCode
+from sardineyard.cli.explain import ExplainCommand
 from sardineyard.cli.state import StateCommand
 
 if TYPE_CHECKING:
@@ -23,11 +29,14 @@
 _COMMANDS = (
     EntryCommand,
     AgentCommand,
+    GatewayCommand,
+    RebalancerCommand,
     ConsoleCommand,
     ConfigCheck,
     ConfigDiff,
     ConfigShow,
     StateCommand,
+    ExplainCommand,
     DemoCommand,
 )
 
--- a/packages/cli/src/sardineyard/cli/daemons.py
+++ b/packages/cli/src/sardineyard/cli/daemons.py
@@ -11,6 +11,10 @@
 
 from sardineyard.cli.base import BaseCommand, read_file
 from sardineyard.cli.exits import ExitCode
+from sardineyard.settings.gateway import (
+    read_gateway_settings,
+    read_rebalancer_settings,
+)
 from sardineyard.settings.processes import read_agent_settings, read_entry_settings
 
 if TYPE_CHECKING:
@@ -35,6 +39,8 @@
         option("check", "c", "Only check the settings and print the result."),
     ]
     module: ClassVar[str]
+    # Program of the module, where it has several.
+    program: ClassVar[str] = ""
 
     def handle(self) -> int:
         """Run the command."""
@@ -51,8 +57,9 @@
             return ExitCode.OK
         # The daemon's image holds no command line library: importing cleo would cost
         # each of them 13 MB.
+        program = [self.program] if self.program else []
         self.replace_process(
-            [sys.executable, "-m", self.module, "--settings", str(path)]
+            [sys.executable, "-m", self.module, *program, "--settings", str(path)]
         )
         return ExitCode.OK
 
@@ -109,6 +116,42 @@
         return read_agent_settings(text)
 
 
+class GatewayCommand(DaemonCommand):
+    """Start the process that forwards requests on the prepared platform."""
+
+    name = "gateway"
+    description = "Start a gateway: it forwards callers' requests to upstreams."
+    help = f"""Checks the settings and starts the daemon in this process.
+
+  <info>sardineyard gateway --settings examples/gateway.ini --check</info>
+{_DRAIN}
+"""
+    module = "sardineyard.platform"
+    program = "gateway"
+
+    def read_settings(self, text: str) -> Result[Any, tuple[SettingError, ...]]:
+        """Parse the settings of a gateway."""
+        return read_gateway_settings(text)
+
+
+class RebalancerCommand(DaemonCommand):
+    """Start the process that levels the expert map of a group."""
+
+    name = "rebalancer"
+    description = "Start a rebalancer beside a model runner of a group."
+    help = f"""Checks the settings and starts the daemon in this process.
+
+  <info>sardineyard rebalancer --settings examples/rebalancer.ini --check</info>
+{_DRAIN}
+"""
+    module = "sardineyard.platform"
+    program = "rebalancer"
+
+    def read_settings(self, text: str) -> Result[Any, tuple[SettingError, ...]]:
+        """Parse the settings of a rebalancer."""
+        return read_rebalancer_settings(text)
+
+
 def _setting_errors(
     raw: bytes, parse: Callable[[str], Result[Any, tuple[SettingError, ...]]]
 ) -> list[object]:
--- a/packages/settings/src/sardineyard/settings/reference.py
+++ b/packages/settings/src/sardineyard/settings/reference.py
@@ -6,6 +6,7 @@
 from textwrap import wrap
 from typing import TYPE_CHECKING, Any
 
+from sardineyard.settings.gateway import GATEWAY_OPTIONS, REBALANCER_OPTIONS
 from sardineyard.settings.processes import AGENT_OPTIONS, ENTRY_OPTIONS
 
 if TYPE_CHECKING:
@@ -23,6 +24,11 @@
 
     sardineyard entry --settings examples/entry.ini --check
     sardineyard agent --settings examples/agent.ini --check
+    sardineyard gateway --settings examples/gateway.ini --check
+    sardineyard rebalancer --settings examples/rebalancer.ini --check
+
+Gateway and rebalancer run on the prepared platform, which fills in the templates
+`deploy/gateway.ini` and `deploy/rebalancer.ini`.
 
 This page and the files in `examples` are made from the options in
 `packages/settings`; `./dev settings` writes them again.
@@ -49,7 +55,12 @@
 def page() -> str:
     """Return the page of settings in Markdown."""
     parts = [_INTRODUCTION]
-    for title, options in (("Entry", ENTRY_OPTIONS), ("Agent", AGENT_OPTIONS)):
+    for title, options in (
+        ("Entry", ENTRY_OPTIONS),
+        ("Agent", AGENT_OPTIONS),
+        ("Gateway", GATEWAY_OPTIONS),
+        ("Rebalancer", REBALANCER_OPTIONS),
+    ):
         parts += [f"## {title}\n", *_table(options), ""]
     return "\n".join(parts)
 
@@ -78,6 +89,8 @@
     texts = {
         "entry": lambda: example(ENTRY_OPTIONS),
         "agent": lambda: example(AGENT_OPTIONS),
+        "gateway": lambda: example(GATEWAY_OPTIONS),
+        "rebalancer": lambda: example(REBALANCER_OPTIONS),
         "page": page,
     }
     sys.stdout.write(texts[sys.argv[1]]())
--- a/packages/settings/tests/test_reference.py
+++ b/packages/settings/tests/test_reference.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sardineyard.settings.gateway import GATEWAY_OPTIONS, REBALANCER_OPTIONS
 from sardineyard.settings.processes import AGENT_OPTIONS, ENTRY_OPTIONS
 from sardineyard.settings.reference import example, page
 
@@ -13,6 +14,8 @@
     [
         ("examples/entry.ini", example(ENTRY_OPTIONS)),
         ("examples/agent.ini", example(AGENT_OPTIONS)),
+        ("examples/gateway.ini", example(GATEWAY_OPTIONS)),
+        ("examples/rebalancer.ini", example(REBALANCER_OPTIONS)),
         ("docs/settings.md", page()),
     ],
 )
@@ -21,7 +24,9 @@
     assert (root / path).read_text() == text, "run ./dev settings"
 
 
-@pytest.mark.parametrize("options", [ENTRY_OPTIONS, AGENT_OPTIONS])
+@pytest.mark.parametrize(
+    "options", [ENTRY_OPTIONS, AGENT_OPTIONS, GATEWAY_OPTIONS, REBALANCER_OPTIONS]
+)
 def test_every_option_has_a_help_text(options: dict[str, object]) -> None:
     """Guards against an option that an operator must look up in the code."""
     assert all(getattr(option, "help", "") for option in options.values())
--- a/packages/telemetry/src/sardineyard/telemetry/lines.py
+++ b/packages/telemetry/src/sardineyard/telemetry/lines.py
@@ -22,33 +22,28 @@
         super().__init__()
         self._second = 0
         self._counts: dict[str, int] = {}
+        self._left_out: dict[str, int] = {}
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Return whether a record is written."""
         second = int(time.monotonic())
         if second != self._second:
             self._second = second
-            left_out, self._counts = self._excess(), {}
-            if left_out:
-                record.left_out = left_out
+            self._counts = {}
+            if self._left_out:
+                record.left_out, self._left_out = self._left_out, {}
         event = str(getattr(record, "event", "message"))
         count = self._counts.get(event, 0) + 1
         self._counts[event] = count
-        return count <= self._allowed(record.levelno)
+        is_kept = count <= self._allowed(record.levelno)
+        if not is_kept:
+            self._left_out[event] = self._left_out.get(event, 0) + 1
+        return is_kept
 
     @staticmethod
     def _allowed(level: int) -> int:
         return _WARNINGS_PER_SECOND if level >= logging.WARNING else _LINES_PER_SECOND
 
-    def _excess(self) -> dict[str, int]:
-        # Lines of warnings are counted against the lower limit only when both levels
-        # share an event, which no event of this project does.
-        return {
-            event: count - _LINES_PER_SECOND
-            for event, count in self._counts.items()
-            if count > _LINES_PER_SECOND
-        }
-
 
 class NonBlockingLines(logging.Handler):
     """Write lines to a file descriptor without waiting for its reader."""
--- a/tools/check_pages.py
+++ b/tools/check_pages.py
@@ -18,7 +18,7 @@
 from sardineyard.telemetry.metrics import AgentMetrics, EntryMetrics
 
 _ROOT = Path(__file__).parents[1]
-_PAGES = ("docs/api.md", "docs/operations.md")
+_PAGES = ("docs/api.md", "docs/OPERATIONS.md")
 _BLOCK = re.compile(r"^```sh\n(.*?)^```$", re.MULTILINE | re.DOTALL)
 _EVENT = re.compile(r'(?:"event": |log_fields\(\s*)"([a-z_]+)"')
 _TIMEOUT_S = 120.0
@@ -26,7 +26,7 @@
 
 def missing_words() -> list[str]:
     """Return events, metrics and error kinds that the operators' page leaves out."""
-    page = (_ROOT / "docs/operations.md").read_text()
+    page = (_ROOT / "docs/OPERATIONS.md").read_text()
     words = {kind.value for kind in ErrorKind}
     for path in (_ROOT / "packages").glob("*/src/**/*.py"):
         words.update(_EVENT.findall(path.read_text()))
@@ -78,7 +78,7 @@
     failed = [page for page in _PAGES if await run_page(page) != 0]
     missing = missing_words()
     if missing:
-        print("docs/operations.md leaves out:", ", ".join(missing))
+        print("docs/OPERATIONS.md leaves out:", ", ".join(missing))
     return 1 if failed or missing else 0
 
 
