--- a/tools/check_pages.py
+++ b/tools/check_pages.py
@@ -15,7 +15,9 @@
 
 from sardineyard.core.errors import ErrorKind
 from sardineyard.standins.fleet import TEAM_KEY, Fleet, FleetSpec
+from sardineyard.telemetry.gateway_metrics import GatewayMetrics
 from sardineyard.telemetry.metrics import AgentMetrics, EntryMetrics
+from sardineyard.telemetry.rebalancer_metrics import RebalancerMetrics
 
 _ROOT = Path(__file__).parents[1]
 _PAGES = ("docs/api.md", "docs/OPERATIONS.md")
@@ -28,9 +30,18 @@
     """Return events, metrics and error kinds that the operators' page leaves out."""
     page = (_ROOT / "docs/OPERATIONS.md").read_text()
     words = {kind.value for kind in ErrorKind}
-    for path in (_ROOT / "packages").glob("*/src/**/*.py"):
+    sources = [
+        *(_ROOT / "packages").glob("*/src/**/*.py"),
+        *(_ROOT / "platform/src").rglob("*.py"),
+    ]
+    for path in sources:
         words.update(_EVENT.findall(path.read_text()))
-    for metrics in (EntryMetrics("-"), AgentMetrics("-")):
+    for metrics in (
+        EntryMetrics("-"),
+        AgentMetrics("-"),
+        GatewayMetrics("-"),
+        RebalancerMetrics("-"),
+    ):
         text = metrics.render()[1].decode()
         words.update(re.findall(r"^# TYPE (\w+)", text, re.MULTILINE))
     return sorted(word for word in words if f"`{word}`" not in page)
