--- a/packages/experts/tests/test_switch.py
+++ b/packages/experts/tests/test_switch.py
@@ -3,23 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 import pytest
 
-from sardineyard.core.clock import WallTime
-from sardineyard.core.ids import ExpertIndex, FencingNumber, RankIndex, StepNumber
-from sardineyard.experts.group import (
-    ArmMap,
-    DisarmMap,
-    HoldStep,
-    OrderResult,
-    PrepareMap,
-    RankReport,
-    ReleaseStep,
-)
+from sardineyard.core.ids import FencingNumber, RankIndex
 from sardineyard.experts.maps import MapVersion
 from sardineyard.experts.switch import (
     EpochEndedError,
@@ -27,175 +16,22 @@
     MapSwitch,
     SwitchResult,
 )
+from sardineyard.standins.lockstep_group import (
+    FakeGroup,
+    LoopClock,
+    VirtualSelector,
+    turned_layout,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Iterator, Sequence
 
-    from sardineyard.experts.group import Layout, MapOrder
+    from sardineyard.experts.group import MapOrder, OrderResult, RankReport
 
 RANKS = 5
-STEP_S = 0.07
-COPY_S = 0.3
 SEEDS = range(60)
 
 
-class VirtualSelector(selectors.SelectSelector):
-    """Move the time forward instead of waiting."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now = 0.0
-
-    def select(self, timeout: float | None = None) -> list[Any]:
-        """Return at once."""
-        self.now += max(0.0, timeout or 0.0)
-        return super().select(0)
-
-
-class LoopClock:
-    """Read the time of the virtual loop."""
-
-    def __init__(self, selector: VirtualSelector) -> None:
-        self._selector = selector
-
-    def now(self) -> float:
-        """Return the virtual time in seconds."""
-        return self._selector.now
-
-    def wall(self) -> WallTime:
-        """Return the virtual time in seconds."""
-        return WallTime(self._selector.now)
-
-
-def layout(turn: int) -> Layout:
-    """Return a layout of two experts a rank, turned by some ranks."""
-    return (
-        tuple(
-            tuple(ExpertIndex((rank + turn) % RANKS * 2 + part) for part in (0, 1))
-            for rank in range(RANKS)
-        ),
-    )
-
-
-class FakeRank:
-    """Follow orders as a model runner does."""
-
-    def __init__(self) -> None:
-        self.in_use = (MapVersion(0), layout(0))
-        self.highest = 0
-        self.prepared: tuple[MapVersion, Layout] | None = None
-        self.prepared_at = 0.0
-        self.armed: tuple[MapVersion, StepNumber] | None = None
-        self.held: StepNumber | None = None
-        self.fence = FencingNumber(0)
-
-
-class FakeGroup:
-    """Begin steps of all ranks together and check that their maps are the same."""
-
-    def __init__(self, rng: Random, clock: LoopClock) -> None:
-        self.ranks = [FakeRank() for _ in range(RANKS)]
-        self.step = StepNumber(10)
-        self.epoch = 1
-        self.lost_share = 0.0
-        self.late_share = 0.0
-        self.mixed_steps = 0
-        self.switched = 0
-        self._rng = rng
-        self._clock = clock
-
-    async def run(self) -> None:
-        """Begin steps until cancelled."""
-        while True:
-            await asyncio.sleep(STEP_S)
-            following = StepNumber(self.step + 1)
-            if any(rank.held == following for rank in self.ranks):
-                continue
-            self.step = following
-            for rank in self.ranks:
-                if rank.armed is not None and rank.armed[1] == following:
-                    assert rank.prepared is not None
-                    rank.in_use, rank.prepared, rank.armed = rank.prepared, None, None
-                    self.switched += 1
-            if len({rank.in_use for rank in self.ranks}) != 1:
-                self.mixed_steps += 1
-
-    async def give(
-        self, index: RankIndex, order: MapOrder, epoch: int, fence: FencingNumber
-    ) -> OrderResult:
-        """Carry an order out, now, later or not at all."""
-        await asyncio.sleep(self._rng.uniform(0.001, 0.005))
-        draw = self._rng.random()
-        if draw < self.late_share:
-            delay = self._rng.uniform(0.2, 3.0)
-            asyncio.get_running_loop().call_later(
-                delay, self.apply, index, order, epoch, fence
-            )
-            await asyncio.sleep(0.1)
-            return OrderResult.UNANSWERED
-        result = self.apply(index, order, epoch, fence)
-        if draw < self.late_share + self.lost_share:
-            await asyncio.sleep(0.1)
-            return OrderResult.UNANSWERED
-        return result
-
-    def apply(
-        self, index: RankIndex, order: MapOrder, epoch: int, fence: FencingNumber
-    ) -> OrderResult:
-        """Carry an order out."""
-        rank = self.ranks[index]
-        if epoch != self.epoch:
-            return OrderResult.REFUSED
-        if fence < rank.fence:
-            return OrderResult.FENCED
-        rank.fence = fence
-        match order:
-            case PrepareMap(version, new):
-                if version <= rank.highest or rank.armed is not None:
-                    return OrderResult.REFUSED
-                rank.highest, rank.prepared = version, (version, new)
-                rank.prepared_at = self._clock.now() + COPY_S
-                return OrderResult.STARTED
-            case ArmMap(version, step):
-                is_ready = self._clock.now() >= rank.prepared_at
-                if rank.prepared is None or rank.prepared[0] != version or not is_ready:
-                    return OrderResult.REFUSED
-                if step <= self.step:
-                    return OrderResult.REFUSED
-                rank.armed = (version, step)
-            case DisarmMap(version):
-                if rank.in_use[0] == version:
-                    return OrderResult.REFUSED
-                rank.armed = None
-            case HoldStep(step):
-                if step <= self.step or rank.held not in (None, step):
-                    return OrderResult.REFUSED
-                rank.held = step
-            case ReleaseStep(step):
-                if rank.held == step:
-                    rank.held = None
-        return OrderResult.DONE
-
-    def report(self, index: RankIndex) -> RankReport:
-        """Return what a rank says about itself."""
-        rank = self.ranks[index]
-        is_ready = self._clock.now() >= rank.prepared_at
-        return RankReport(
-            group="g",
-            rank=index,
-            size=RANKS,
-            epoch=self.epoch,
-            is_open=True,
-            started_ms=1,
-            step=self.step,
-            version=rank.in_use[0],
-            prepared=rank.prepared[0] if rank.prepared and is_ready else None,
-            armed=rank.armed[0] if rank.armed else None,
-            armed_step=rank.armed[1] if rank.armed else None,
-            held_step=rank.held,
-        )
-
-
 class FakePort:
     """Reach the fake group with the numbers of one coordinator."""
 
@@ -234,7 +70,7 @@
 
     def group(self, seed: int) -> FakeGroup:
         """Return a group with its own random numbers."""
-        return FakeGroup(Random(seed), self.clock)
+        return FakeGroup(Random(seed), self.clock, RANKS)
 
     def switch(self, port: FakePort) -> MapSwitch:
         """Return a switch that uses a port."""
@@ -264,7 +100,10 @@
 async def change(switch: MapSwitch, version: int = 1, turn: int = 1) -> SwitchResult:
     """Change the map to a turned layout."""
     return await switch.change(
-        MapVersion(version), layout(turn), layout(0), RankIndex(0)
+        MapVersion(version),
+        turned_layout(RANKS, turn),
+        turned_layout(RANKS, 0),
+        RankIndex(0),
     )
 
 
--- /dev/null
+++ b/packages/standins/src/sardineyard/standins/lockstep_group.py
@@ -0,0 +1,235 @@
+"""Stand-in for a group of ranks that make their passes in lock-step."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from typing import TYPE_CHECKING, Any
+
+from sardineyard.core.clock import WallTime
+from sardineyard.core.ids import ExpertIndex, FencingNumber, StepNumber
+from sardineyard.experts.group import (
+    ArmMap,
+    DisarmMap,
+    HoldStep,
+    OrderResult,
+    PrepareMap,
+    RankCounts,
+    RankExperts,
+    RankReport,
+    ReleaseStep,
+)
+from sardineyard.experts.maps import MapVersion
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import RankIndex
+    from sardineyard.experts.group import Layout, MapOrder
+
+STEP_S = 0.07
+COPY_S = 0.3
+# Choices of one rank in a step.
+_CHOICES = 400
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Move the time forward instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Return at once."""
+        self.now += max(0.0, timeout or 0.0)
+        return super().select(0)
+
+
+class LoopClock:
+    """Read the time of the virtual loop."""
+
+    def __init__(self, selector: VirtualSelector) -> None:
+        self._selector = selector
+
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._selector.now
+
+    def wall(self) -> WallTime:
+        """Return the virtual time in seconds."""
+        return WallTime(self._selector.now)
+
+
+def turned_layout(ranks: int, turn: int) -> Layout:
+    """Return a layout of two experts a rank, turned by some ranks."""
+    return (
+        tuple(
+            tuple(ExpertIndex((rank + turn) % ranks * 2 + part) for part in (0, 1))
+            for rank in range(ranks)
+        ),
+    )
+
+
+class FakeRank:
+    """Follow orders as a model runner does."""
+
+    def __init__(self, first: Layout) -> None:
+        self.in_use = (MapVersion(0), first)
+        self.counts: list[int] = []
+        self.highest = 0
+        self.prepared: tuple[MapVersion, Layout] | None = None
+        self.prepared_at = 0.0
+        self.armed: tuple[MapVersion, StepNumber] | None = None
+        self.held: StepNumber | None = None
+        self.fence = FencingNumber(0)
+
+
+class FakeGroup:
+    """Begin steps of all ranks together and check that their maps are the same."""
+
+    def __init__(self, rng: Random, clock: Clock, size: int) -> None:
+        first = turned_layout(size, 0)
+        self.ranks = [FakeRank(first) for _ in range(size)]
+        # Popularity of each expert; nothing is counted without it.
+        self.popularity: list[float] = []
+        self.step = StepNumber(10)
+        self.epoch = 1
+        self.lost_share = 0.0
+        self.late_share = 0.0
+        self.mixed_steps = 0
+        self.switched = 0
+        self._rng = rng
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Begin steps until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            following = StepNumber(self.step + 1)
+            if any(rank.held == following for rank in self.ranks):
+                continue
+            self.step = following
+            for rank in self.ranks:
+                if rank.armed is not None and rank.armed[1] == following:
+                    assert rank.prepared is not None
+                    rank.in_use, rank.prepared, rank.armed = rank.prepared, None, None
+                    self.switched += 1
+            self._count()
+            if len({rank.in_use for rank in self.ranks}) != 1:
+                self.mixed_steps += 1
+
+    def _count(self) -> None:
+        total = sum(self.popularity)
+        for rank in self.ranks:
+            rank.counts = rank.counts or [0] * len(self.popularity)
+            for expert, share in enumerate(self.popularity):
+                rank.counts[expert] += int(_CHOICES * share / total)
+
+    async def give(
+        self, index: RankIndex, order: MapOrder, epoch: int, fence: FencingNumber
+    ) -> OrderResult:
+        """Carry an order out, now, later or not at all."""
+        await asyncio.sleep(self._rng.uniform(0.001, 0.005))
+        draw = self._rng.random()
+        if draw < self.late_share:
+            delay = self._rng.uniform(0.2, 3.0)
+            asyncio.get_running_loop().call_later(
+                delay, self.apply, index, order, epoch, fence
+            )
+            await asyncio.sleep(0.1)
+            return OrderResult.UNANSWERED
+        result = self.apply(index, order, epoch, fence)
+        if draw < self.late_share + self.lost_share:
+            await asyncio.sleep(0.1)
+            return OrderResult.UNANSWERED
+        return result
+
+    def apply(
+        self, index: RankIndex, order: MapOrder, epoch: int, fence: FencingNumber
+    ) -> OrderResult:
+        """Carry an order out."""
+        rank = self.ranks[index]
+        if epoch != self.epoch:
+            return OrderResult.REFUSED
+        if fence < rank.fence:
+            return OrderResult.FENCED
+        rank.fence = fence
+        match order:
+            case PrepareMap(version, new):
+                if version <= rank.highest or rank.armed is not None:
+                    return OrderResult.REFUSED
+                rank.highest, rank.prepared = version, (version, new)
+                rank.prepared_at = self._clock.now() + COPY_S
+                return OrderResult.STARTED
+            case ArmMap(version, step):
+                is_ready = self._clock.now() >= rank.prepared_at
+                if rank.prepared is None or rank.prepared[0] != version or not is_ready:
+                    return OrderResult.REFUSED
+                if step <= self.step:
+                    return OrderResult.REFUSED
+                rank.armed = (version, step)
+            case DisarmMap(version):
+                if rank.in_use[0] == version:
+                    return OrderResult.REFUSED
+                rank.armed = None
+            case HoldStep(step):
+                if step <= self.step or rank.held not in (None, step):
+                    return OrderResult.REFUSED
+                rank.held = step
+            case ReleaseStep(step):
+                if rank.held == step:
+                    rank.held = None
+        return OrderResult.DONE
+
+    def report(self, index: RankIndex) -> RankReport:
+        """Return what a rank says about itself."""
+        rank = self.ranks[index]
+        is_ready = self._clock.now() >= rank.prepared_at
+        return RankReport(
+            group="g",
+            rank=index,
+            size=len(self.ranks),
+            epoch=self.epoch,
+            is_open=True,
+            started_ms=1,
+            step=self.step,
+            version=rank.in_use[0],
+            prepared=rank.prepared[0] if rank.prepared and is_ready else None,
+            armed=rank.armed[0] if rank.armed else None,
+            armed_step=rank.armed[1] if rank.armed else None,
+            held_step=rank.held,
+        )
+
+
+class FakeRunner:
+    """Talk to one rank of a fake group; implements GroupRunner."""
+
+    def __init__(self, group: FakeGroup, rank: RankIndex) -> None:
+        self._group = group
+        self._rank = rank
+
+    async def report(self) -> RankReport | None:
+        """Return what the rank says about itself."""
+        return self._group.report(self._rank)
+
+    async def counts(self) -> RankCounts | None:
+        """Return how often each expert was chosen."""
+        counts = tuple(self._group.ranks[self._rank].counts)
+        return RankCounts(self._group.epoch, self._group.step, counts)
+
+    async def experts(self) -> RankExperts | None:
+        """Return the experts of the rank."""
+        version, layout = self._group.ranks[self._rank].in_use
+        parts = tuple(placement[self._rank] for placement in layout)
+        return RankExperts(self._group.epoch, version, parts)
+
+    async def order(
+        self, order: MapOrder, epoch: int, fence: FencingNumber
+    ) -> OrderResult:
+        """Give an order that holds in one epoch of the group only."""
+        return await self._group.give(self._rank, order, epoch, fence)
+
+    def close(self) -> None:
+        """Close nothing."""
