--- a/packages/catalog/src/sardineyard/catalog/follower.py
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -15,10 +15,12 @@
 from sardineyard.forwarding.source import StoreError, StoreFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from random import Random
 
     from sardineyard.core.clock import Clock
     from sardineyard.core.mailbox import Mailbox
+    from sardineyard.core.tasks import TaskSet
     from sardineyard.forwarding.source import CatalogStore, ConfigRead
 
 _logger = logging.getLogger(__name__)
@@ -102,30 +104,26 @@
     pace: WatchPace,
 ) -> None:
     """Send each new configuration to a mailbox until cancelled."""
-    revision: int | None = None
-    while True:
-        try:
-            if revision is None:
-                read = await store.read_config()
-                contact.succeeded()
-                if read is None:
-                    await asyncio.sleep(_NO_CONFIG_PAUSE_S)
-                    continue
-                newest: ConfigRead | None = read
-                revision = read.revision
-            else:
-                changes = await store.watch_config(revision, pace.next_watch_s())
-                contact.succeeded()
-                newest, revision = changes.newest, max(revision, changes.revision)
-            if newest is not None:
-                mailbox.offer(ConfigArrived(newest, "store"))
-                await asyncio.sleep(pace.pause_s)
-        except StoreError as error:
-            if error.failure is StoreFailure.HISTORY_LOST and revision is not None:
-                _log_history_lost("config", revision)
-                revision = None
-            else:
-                await contact.failed(error)
+
+    async def step(revision: int | None) -> int | None:
+        newest: ConfigRead | None
+        if revision is None:
+            newest = await store.read_config()
+            contact.succeeded()
+            if newest is None:
+                await asyncio.sleep(_NO_CONFIG_PAUSE_S)
+                return None
+            revision = newest.revision
+        else:
+            changes = await store.watch_config(revision, pace.next_watch_s())
+            contact.succeeded()
+            newest, revision = changes.newest, max(revision, changes.revision)
+        if newest is not None:
+            mailbox.offer(ConfigArrived(newest, "store"))
+            await asyncio.sleep(pace.pause_s)
+        return revision
+
+    await _follow("config", step, contact)
 
 
 async def follow_upstreams(
@@ -135,25 +133,50 @@
     pace: WatchPace,
 ) -> None:
     """Send the upstreams and their changes to a mailbox until cancelled."""
+
+    async def step(revision: int | None) -> int | None:
+        if revision is None:
+            snapshot = await store.read_upstreams()
+            contact.succeeded()
+            mailbox.offer(UpstreamsListed(snapshot, contact.is_after_outage))
+            await asyncio.sleep(pace.pause_s)
+            return snapshot.revision
+        changes = await store.watch_upstreams(revision, pace.next_watch_s())
+        contact.succeeded()
+        mailbox.offer(UpstreamsChanged(changes, contact.is_after_outage))
+        if changes.changes:
+            await asyncio.sleep(pace.pause_s)
+        return max(revision, changes.revision)
+
+    await _follow("upstreams", step, contact)
+
+
+def start_following(
+    tasks: TaskSet,
+    store: CatalogStore,
+    mailbox: Mailbox[object],
+    clock: Clock,
+    pace: WatchPace,
+) -> None:
+    """Start the tasks that send configuration and upstreams to a mailbox."""
+    for name, follow in (("config", follow_config), ("upstreams", follow_upstreams)):
+        contact = StoreContact(name, clock, pace.rng)
+        tasks.start(name, follow(store, mailbox, contact, pace))
+
+
+async def _follow(
+    what: str,
+    step: Callable[[int | None], Awaitable[int | None]],
+    contact: StoreContact,
+) -> None:
+    """Read all, then watch from the last revision; read all again where it is lost."""
     revision: int | None = None
     while True:
         try:
-            if revision is None:
-                snapshot = await store.read_upstreams()
-                contact.succeeded()
-                mailbox.offer(UpstreamsListed(snapshot, contact.is_after_outage))
-                revision = snapshot.revision
-                await asyncio.sleep(pace.pause_s)
-            else:
-                changes = await store.watch_upstreams(revision, pace.next_watch_s())
-                contact.succeeded()
-                mailbox.offer(UpstreamsChanged(changes, contact.is_after_outage))
-                revision = max(revision, changes.revision)
-                if changes.changes:
-                    await asyncio.sleep(pace.pause_s)
+            revision = await step(revision)
         except StoreError as error:
             if error.failure is StoreFailure.HISTORY_LOST and revision is not None:
-                _log_history_lost("upstreams", revision)
+                _log_history_lost(what, revision)
                 revision = None
             else:
                 await contact.failed(error)
--- a/packages/catalog/tests/conftest.py
+++ b/packages/catalog/tests/conftest.py
@@ -8,22 +8,12 @@
 
 import pytest
 
-from sardineyard.catalog.follower import (
-    StoreContact,
-    WatchPace,
-    follow_config,
-    follow_upstreams,
-)
+from sardineyard.catalog.follower import WatchPace, start_following
 from sardineyard.catalog.keeper import CatalogKeeper
 from sardineyard.core.clock import SystemClock
-from sardineyard.core.ids import FailureDomain, ServiceName
+from sardineyard.core.ids import ServiceName
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.tasks import TaskSet
-from sardineyard.forwarding.config import (
-    ForwardingConfig,
-    UpstreamEntry,
-    UpstreamPhase,
-)
 from sardineyard.standins.gateway_world import MemoryStore
 
 if TYPE_CHECKING:
@@ -32,18 +22,6 @@
 SERVICE = ServiceName("desk")
 
 
-def config(version: int) -> ForwardingConfig:
-    """Return an empty configuration of a version."""
-    return ForwardingConfig(version, (), {}, ())
-
-
-def entry(id: str) -> UpstreamEntry:
-    """Return the entry of an upstream."""
-    return UpstreamEntry(
-        id, SERVICE, "127.0.0.1", 80, FailureDomain("a"), 4, UpstreamPhase.READY
-    )
-
-
 class Follower:
     """Hold the catalog of one process that follows a store."""
 
@@ -61,11 +39,7 @@
         if not follows_store:
             return
         pace = WatchPace(0.4, 0.0, Random(1))
-        for name, follow in (("c", follow_config), ("u", follow_upstreams)):
-            contact = StoreContact(name, self.clock, Random(1))
-            self.tasks.start(
-                name, follow(self.store, self.keeper.mailbox, contact, pace)
-            )
+        start_following(self.tasks, self.store, self.keeper.mailbox, self.clock, pace)
 
     async def until(self, is_true: Callable[[], bool]) -> None:
         """Wait until something holds."""
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -10,12 +10,7 @@
 from grpclib.server import Server
 
 from sardineyard.catalog.beacons import Beacons
-from sardineyard.catalog.follower import (
-    StoreContact,
-    WatchPace,
-    follow_config,
-    follow_upstreams,
-)
+from sardineyard.catalog.follower import WatchPace, start_following
 from sardineyard.catalog.keeper import CatalogKeeper
 from sardineyard.catalog.messages import DumpCatalog
 from sardineyard.catalog.peers import NewsCodec, PeerExchange, PeerService
@@ -163,14 +158,10 @@
         """Start the tasks and listen."""
         self._tasks.start("catalog", self._keeper.run())
         self._tasks.start("dispatcher", self._dispatcher.run())
-        mailbox = self._keeper.mailbox
         pace = WatchPace(_WATCH_S, _WATCH_PAUSE_S, self._rng)
-        for name, follow in (
-            ("config", follow_config),
-            ("upstreams", follow_upstreams),
-        ):
-            contact = StoreContact(name, self._clock, self._rng)
-            self._tasks.start(name, follow(self._store, mailbox, contact, pace))
+        start_following(
+            self._tasks, self._store, self._keeper.mailbox, self._clock, pace
+        )
         address = self._settings.peer_address
         await self._peers.start(address.host, address.port)
         self._tasks.start("peers", self._exchange.run())
--- a/packages/settings/src/sardineyard/settings/gateway.py
+++ b/packages/settings/src/sardineyard/settings/gateway.py
@@ -8,6 +8,7 @@
 from sardineyard.core.address import parse_address
 from sardineyard.settings import parsers
 from sardineyard.settings.ini import Option, read
+from sardineyard.settings.processes import PROCESS_OPTIONS
 
 if TYPE_CHECKING:
     from returns.result import Result
@@ -17,7 +18,6 @@
 
 _ADDRESS = "IP address and port, such as 127.0.0.1:8080"
 _ADDRESSES = "IP addresses with ports, separated by commas"
-_LEVELS = ("debug", "info", "warning", "error")
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,30 +57,10 @@
 
 
 _FLEET_OPTIONS: dict[str, Option[Any]] = {
-    "process": Option(
-        "process",
-        "id",
-        parsers.identifier,
-        "letters, digits, dots, dashes and underscores",
-        help="Name of this process, unique in the fleet; it marks logs and metrics.",
-        example="gateway-1",
-    ),
-    "failure_domain": Option(
-        "process",
-        "failure_domain",
-        parsers.identifier,
-        "letters, digits, dots, dashes and underscores",
-        help="Failure domain in which this VM runs.",
-        example="domain-a",
-    ),
-    "admin_address": Option(
-        "process",
-        "admin_address",
-        parse_address,
-        _ADDRESS,
-        help="Where to serve /state, /metrics, /healthz and /readyz to operators.",
-        example="127.0.0.1:9101",
-    ),
+    **{
+        name: PROCESS_OPTIONS[name]
+        for name in ("process", "failure_domain", "admin_address", "log_level")
+    },
     "drain_timeout_s": Option(
         "process",
         "drain_timeout_s",
@@ -89,14 +69,6 @@
         help="Seconds between SIGTERM and the end that the platform enforces.",
         example="8",
     ),
-    "log_level": Option(
-        "logging",
-        "level",
-        parsers.one_of(*_LEVELS),
-        ", ".join(_LEVELS),
-        "info",
-        help="Least important level that is logged.",
-    ),
     "store_address": Option(
         "platform",
         "store",
--- a/packages/settings/src/sardineyard/settings/processes.py
+++ b/packages/settings/src/sardineyard/settings/processes.py
@@ -66,7 +66,7 @@
     admission: str
 
 
-_PROCESS_OPTIONS: dict[str, Option[Any]] = {
+PROCESS_OPTIONS: dict[str, Option[Any]] = {
     "process": Option(
         "process",
         "id",
@@ -157,7 +157,7 @@
     ),
 }
 ENTRY_OPTIONS: dict[str, Option[Any]] = {
-    **_PROCESS_OPTIONS,
+    **PROCESS_OPTIONS,
     "caller_address": Option(
         "entry",
         "caller_address",
@@ -184,9 +184,9 @@
     "seed_peers": "127.0.0.1:9201, 127.0.0.1:9203",
 }
 AGENT_OPTIONS: dict[str, Option[Any]] = {
-    **_PROCESS_OPTIONS,
+    **PROCESS_OPTIONS,
     **{
-        field: replace(_PROCESS_OPTIONS[field], example=text)
+        field: replace(PROCESS_OPTIONS[field], example=text)
         for field, text in _AGENT_EXAMPLES.items()
     },
     "upstream": Option(
