--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -20,18 +20,16 @@
 from sardineyard.httpio.fields import drop_connection_fields
 
 if TYPE_CHECKING:
-    from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.config import UpstreamEntry
     from sardineyard.forwarding.events import EventSequence
-    from sardineyard.forwarding.messages import AnswerFacts, MessageCodec
+    from sardineyard.forwarding.messages import AnswerFacts
     from sardineyard.gateway.attempts import Progress
-    from sardineyard.gateway.connections import UpstreamConnections
-    from sardineyard.httpio.acceptor import Answer, IncomingRequest
+    from sardineyard.gateway.environment import Environment
+    from sardineyard.httpio.acceptor import Answer
     from sardineyard.httpio.call import AnswerHead, CallConnection
     from sardineyard.httpio.fields import HeaderList
-    from sardineyard.telemetry.gateway_metrics import GatewayMetrics
+    from sardineyard.httpio.request_reader import IncomingRequest
 
 _logger = logging.getLogger(__name__)
 
@@ -68,11 +66,7 @@
         headers: HeaderList,
         progress: Progress,
         events: EventSequence,
-        dispatcher: Mailbox[object],
-        codec: MessageCodec,
-        connections: UpstreamConnections,
-        clock: Clock,
-        metrics: GatewayMetrics,
+        environment: Environment,
     ) -> None:
         self._upstream = upstream
         self._request = request
@@ -81,14 +75,11 @@
         self._headers = headers
         self._progress = progress
         self._events = events
-        self._dispatcher = dispatcher
-        self._codec = codec
-        self._connections = connections
-        self._clock = clock
-        self._metrics = metrics
+        self._env = environment
+        self._clock = environment.clock
         self._result = CallResult.ABANDONED
         self._facts: AnswerFacts | None = None
-        self._began = clock.now()
+        self._began = environment.clock.now()
         self._first_event_s: float | None = None
         self._longest_pause_s = 0.0
         self._reason = ""
@@ -106,7 +97,7 @@
                 outcome = await self._exchange(connection, head_timeout_s)
         finally:
             if connection is not None:
-                self._connections.give_back(self._upstream, connection)
+                self._env.connections.give_back(self._upstream, connection)
             self._report(outcome, self._clock.now() - self._began)
         return outcome
 
@@ -114,11 +105,11 @@
         # An idle connection may have been closed by the upstream, which shows only
         # after sending; calls that must not be repeated take a new one.
         if self._admitted.route.repetition is not Repetition.AT_MOST_ONCE:
-            idle = self._connections.take_idle(self._upstream)
+            idle = self._env.connections.take_idle(self._upstream)
             if idle is not None:
                 return idle
         try:
-            return await self._connections.open(self._upstream, CONNECT_TIMEOUT_S)
+            return await self._env.connections.open(self._upstream, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError) as error:
             self._progress.unreachable += 1
             self._ended(CallResult.UNREACHABLE, repr(error))
@@ -173,7 +164,7 @@
         expected = self._admitted.facts.request_id
         for _ in range(_MAX_STRAY_ANSWERS + 1):
             head = await connection.receive_head()
-            facts = self._codec.read_answer(head.status, head.headers)
+            facts = self._env.codec.read_answer(head.status, head.headers)
             if facts.request_id in (expected, ""):
                 return head, facts
             await connection.receive_body()
@@ -235,7 +226,7 @@
             return
         self._first_byte()
         seconds = self._first_event_s = self._clock.now() - self._began
-        self._dispatcher.offer(FirstEventSeen(self._admitted.service, seconds))
+        self._env.dispatcher.offer(FirstEventSeen(self._admitted.service, seconds))
         self._progress.is_started = True
         await self._to_caller(
             self._answer.start(head.status, drop_connection_fields(head.headers))
@@ -243,12 +234,12 @@
 
     def _first_byte(self) -> None:
         waited_s = self._clock.now() - self._request.arrived
-        self._metrics.first_byte(self._admitted.priority, waited_s)
+        self._env.metrics.first_byte(self._admitted.priority, waited_s)
 
     def _pause(self, seconds: float) -> None:
-        self._metrics.pause(self._admitted.priority, seconds)
+        self._env.metrics.pause(self._admitted.priority, seconds)
         self._longest_pause_s = max(self._longest_pause_s, seconds)
-        self._dispatcher.offer(PauseSeen(self._admitted.service, seconds))
+        self._env.dispatcher.offer(PauseSeen(self._admitted.service, seconds))
 
     async def _to_caller(self, writing: object) -> None:
         try:
@@ -268,7 +259,7 @@
 
     def _report(self, outcome: CallOutcome, seconds: float) -> None:
         facts = self._facts
-        self._dispatcher.offer(
+        self._env.dispatcher.offer(
             CallEnded(
                 self._admitted.service,
                 self._upstream.id,
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from itertools import count
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -23,10 +24,12 @@
 from sardineyard.forwarding.config import FrontLimits
 from sardineyard.gateway.connections import UpstreamConnections
 from sardineyard.gateway.dispatcher import Dispatcher
+from sardineyard.gateway.environment import Environment
 from sardineyard.gateway.forwarder import Forwarder
 from sardineyard.gateway.messages import DumpGateway
-from sardineyard.httpio.acceptor import AcceptLimits, Acceptor
+from sardineyard.httpio.acceptor import Acceptor
 from sardineyard.httpio.messages import HttpLimits
+from sardineyard.httpio.request_reader import AcceptLimits
 from sardineyard.httpio.server import HttpServer
 
 if TYPE_CHECKING:
@@ -112,12 +115,15 @@
         self._connections = UpstreamConnections(clock)
         self._forwarder = Forwarder(
             lambda: self._keeper.config,
-            self._dispatcher.mailbox,
-            codec,
-            self._connections,
-            clock,
+            Environment(
+                self._dispatcher.mailbox,
+                codec,
+                self._connections,
+                clock,
+                metrics,
+                count(1),
+            ),
             self._rng,
-            metrics,
         )
         self._callers = Acceptor(
             settings.caller_address,
--- /dev/null
+++ b/packages/gateway/src/sardineyard/gateway/environment.py
@@ -0,0 +1,28 @@
+"""What every request of a gateway uses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.mailbox import Mailbox
+    from sardineyard.forwarding.messages import MessageCodec
+    from sardineyard.gateway.connections import UpstreamConnections
+    from sardineyard.telemetry.gateway_metrics import GatewayMetrics
+
+
+@dataclass(frozen=True, slots=True)
+class Environment:
+    """Hold the parts of a gateway that its requests share."""
+
+    dispatcher: Mailbox[object]
+    codec: MessageCodec
+    connections: UpstreamConnections
+    clock: Clock
+    metrics: GatewayMetrics
+    # Numbers that no two requests for a place share.
+    tickets: Iterator[int]
--- a/packages/gateway/src/sardineyard/gateway/forwarder.py
+++ b/packages/gateway/src/sardineyard/gateway/forwarder.py
@@ -24,14 +24,11 @@
 
     from returns.result import Result
 
-    from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.config import ForwardingConfig
-    from sardineyard.forwarding.messages import MessageCodec
-    from sardineyard.gateway.connections import UpstreamConnections
-    from sardineyard.httpio.acceptor import Answer, IncomingRequest
-    from sardineyard.telemetry.gateway_metrics import GatewayMetrics
+    from sardineyard.gateway.environment import Environment
+    from sardineyard.httpio.acceptor import Answer
+    from sardineyard.httpio.request_reader import IncomingRequest
 
 _logger = logging.getLogger(__name__)
 
@@ -45,22 +42,14 @@
     def __init__(
         self,
         config: Callable[[], ForwardingConfig | None],
-        dispatcher: Mailbox[object],
-        codec: MessageCodec,
-        connections: UpstreamConnections,
-        clock: Clock,
+        environment: Environment,
         rng: Random,
-        metrics: GatewayMetrics,
     ) -> None:
         self._config = config
-        self._dispatcher = dispatcher
-        self._codec = codec
-        self._connections = connections
-        self._clock = clock
+        self._env = environment
         self._rng = rng
-        self._metrics = metrics
         self._patience = Patience()
-        self._tickets = count(1)
+        self._numbers = count(1)
         self._open: dict[int, RequestId] = {}
 
     @property
@@ -70,10 +59,10 @@
 
     async def handle(self, request: IncomingRequest, answer: Answer) -> None:
         """Answer one request."""
-        facts = self._codec.read_request(request.headers)
-        number = next(self._tickets)
+        facts = self._env.codec.read_request(request.headers)
+        number = next(self._numbers)
         self._open[number] = facts.request_id
-        self._metrics.request_started()
+        self._env.metrics.request_started()
         error: RequestError | None = RequestError(ErrorKind.CANCELLED)
         priority = None
         try:
@@ -88,13 +77,13 @@
             error = RequestError(ErrorKind.CANCELLED, str(gone))
         finally:
             del self._open[number]
-            self._metrics.request_ended(priority, error.kind if error else None)
+            self._env.metrics.request_ended(priority, error.kind if error else None)
             self._log_end(request, facts, error)
 
     async def refuse(self, kind: ErrorKind, detail: str, answer: Answer) -> None:
         """Answer a request that could not be read."""
-        self._metrics.request_started()
-        self._metrics.request_ended(None, kind)
+        self._env.metrics.request_started()
+        self._env.metrics.request_ended(None, kind)
         facts = RequestFacts(RequestId(""))
         _logger.warning(
             "a request could not be read",
@@ -123,18 +112,8 @@
     async def _run(
         self, request: IncomingRequest, answer: Answer, admitted: Admitted
     ) -> RequestError | None:
-        self._dispatcher.post(RequestArrived(admitted.service))
-        run = RequestRun(
-            request,
-            answer,
-            admitted,
-            self._dispatcher,
-            self._codec,
-            self._connections,
-            self._clock,
-            self._tickets,
-            self._metrics,
-        )
+        self._env.dispatcher.post(RequestArrived(admitted.service))
+        run = RequestRun(request, answer, admitted, self._env)
         return await run.serve()
 
     async def _refuse(
@@ -143,7 +122,7 @@
         retry_after_s = (
             _NOT_READY_RETRY_S if error.kind is ErrorKind.NOT_READY else None
         )
-        headers = self._codec.refusal_headers(facts.request_id, retry_after_s)
+        headers = self._env.codec.refusal_headers(facts.request_id, retry_after_s)
         await send_refusal(answer, error, headers)
 
     def _log_end(
@@ -164,6 +143,6 @@
                 "detail": error.detail if error else "",
                 "path": request.path,
                 "config_version": config.version if config else None,
-                "total_ms": round((self._clock.now() - request.arrived) * 1000, 1),
+                "total_ms": round((self._env.clock.now() - request.arrived) * 1000, 1),
             },
         )
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -20,17 +20,12 @@
 from sardineyard.httpio.fields import drop_connection_fields
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-    from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
     from sardineyard.forwarding.admission import Admitted
-    from sardineyard.forwarding.messages import MessageCodec
     from sardineyard.forwarding.places import Refused
     from sardineyard.gateway.call import StoredFailure
-    from sardineyard.gateway.connections import UpstreamConnections
-    from sardineyard.httpio.acceptor import Answer, IncomingRequest
-    from sardineyard.telemetry.gateway_metrics import GatewayMetrics
+    from sardineyard.gateway.environment import Environment
+    from sardineyard.httpio.acceptor import Answer
+    from sardineyard.httpio.request_reader import IncomingRequest
 
 _logger = logging.getLogger(__name__)
 
@@ -57,22 +52,12 @@
         request: IncomingRequest,
         answer: Answer,
         admitted: Admitted,
-        dispatcher: Mailbox[object],
-        codec: MessageCodec,
-        connections: UpstreamConnections,
-        clock: Clock,
-        tickets: Iterator[int],
-        metrics: GatewayMetrics,
+        environment: Environment,
     ) -> None:
         self._request = request
         self._answer = answer
         self._admitted = admitted
-        self._dispatcher = dispatcher
-        self._codec = codec
-        self._connections = connections
-        self._clock = clock
-        self._tickets = tickets
-        self._metrics = metrics
+        self._env = environment
         route = admitted.route
         self._progress = Progress(route.repetition, route.max_upstreams)
         last = admitted.facts.last_event_id
@@ -98,11 +83,11 @@
 
     @property
     def _left_s(self) -> float:
-        return remaining(self._clock, self._admitted.deadline)
+        return remaining(self._env.clock, self._admitted.deadline)
 
     async def _call_until_answered(self) -> RequestError | None:
         while True:
-            ticket = TicketId(next(self._tickets))
+            ticket = TicketId(next(self._env.tickets))
             try:
                 decision = await self._ask_place(ticket)
                 if not isinstance(decision, Place):
@@ -110,12 +95,12 @@
                 call = self._new_call(decision)
                 outcome = await call.run(self._attempt_timeout_s())
             finally:
-                self._dispatcher.post(ReleasePlace(ticket))
+                self._env.dispatcher.post(ReleasePlace(ticket))
             step = self._progress.next_after(outcome)
             if step is Next.REPEAT:
                 step = await self._repeat_or_end(outcome)
             if step is Next.TRY_AGAIN:
-                self._metrics.repeated(outcome.value)
+                self._env.metrics.repeated(outcome.value)
                 continue
             if step is Next.PASS_FAILURE and call.failure is not None:
                 await self._pass_failure(call.failure)
@@ -125,7 +110,7 @@
             return self._progress.error_after(outcome)
 
     async def _repeat_or_end(self, outcome: CallOutcome) -> Next:
-        allowed = await ask_repeat(self._dispatcher, self._admitted.service)
+        allowed = await ask_repeat(self._env.dispatcher, self._admitted.service)
         _logger.info(
             "a further call was decided on",
             extra={
@@ -153,7 +138,7 @@
             frozenset(self._tried),
             self._progress.is_started,
         )
-        self._dispatcher.post(AskPlace(admitted.facts.request_id, request, reply))
+        self._env.dispatcher.post(AskPlace(admitted.facts.request_id, request, reply))
         return await reply.wait()
 
     def _refused(self, decision: Refused) -> RequestError:
@@ -178,14 +163,10 @@
             self._request,
             self._answer,
             admitted,
-            self._codec.forwarded_headers(self._request.headers, orders),
+            self._env.codec.forwarded_headers(self._request.headers, orders),
             self._progress,
             self._events,
-            self._dispatcher,
-            self._codec,
-            self._connections,
-            self._clock,
-            self._metrics,
+            self._env,
         )
 
     def _attempt_timeout_s(self) -> float | None:
@@ -207,7 +188,7 @@
         if retry_after_s is None and not self._progress.may_have_run:
             retry_after_s = self._left_s * _RETRY_TIME_LEFT
         promises = error.answer.retry_after_s is not None
-        headers = self._codec.refusal_headers(
+        headers = self._env.codec.refusal_headers(
             self._admitted.facts.request_id, retry_after_s if promises else None
         )
         await send_refusal(self._answer, error, headers)
--- a/packages/httpio/src/sardineyard/httpio/acceptor.py
+++ b/packages/httpio/src/sardineyard/httpio/acceptor.py
@@ -5,19 +5,25 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
 import h11
 
 from sardineyard.core.errors import ErrorKind
 from sardineyard.httpio.fields import find
-from sardineyard.httpio.head_check import HeadError, check_head, head_length
 from sardineyard.httpio.link import SocketLink
+from sardineyard.httpio.request_reader import (
+    IncomingRequest,
+    RequestReader,
+    RequestRefusedError,
+)
 
 if TYPE_CHECKING:
     from sardineyard.core.address import Address
     from sardineyard.httpio.fields import HeaderList
+    from sardineyard.httpio.request_reader import (
+        AcceptLimits,
+    )
 
 _logger = logging.getLogger(__name__)
 
@@ -30,33 +36,6 @@
 _BACKLOG = 512
 
 
-@dataclass(frozen=True, slots=True)
-class AcceptLimits:
-    """Bound what a client may send; times in seconds."""
-
-    max_head_bytes: int
-    max_body_bytes: int
-    head_timeout_s: float
-    idle_timeout_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class IncomingRequest:
-    """Hold one whole request with its header fields as they were sent."""
-
-    method: bytes
-    target: bytes
-    headers: HeaderList
-    body: bytes
-    # Monotonic time at which its head was complete.
-    arrived: float
-
-    @property
-    def path(self) -> str:
-        """Return the path without the query."""
-        return self.target.partition(b"?")[0].decode("latin-1")
-
-
 class Answer:
     """Write one answer, whole or in pieces."""
 
@@ -202,13 +181,6 @@
             )
 
 
-class _RefusedError(Exception):
-    def __init__(self, kind: ErrorKind, detail: str) -> None:
-        super().__init__(detail)
-        self.kind = kind
-        self.detail = detail
-
-
 class _AcceptedConnection:
     """Own one accepted socket and serve its requests in turn."""
 
@@ -219,12 +191,12 @@
         self._link = link
         self._handler = handler
         self._refuse = refuse
-        self._is_idle = True
-        self._buffer = b""
+        self._reader = RequestReader(link)
+        self._is_answering = False
 
     def close_if_idle(self) -> None:
         """Close the connection when no request is on it."""
-        if self._is_idle:
+        if self._reader.is_idle and not self._is_answering:
             self._link.close()
 
     async def run(self, limits: Callable[[], AcceptLimits]) -> None:
@@ -245,8 +217,8 @@
             h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
         )
         try:
-            request = await self._read_request(http, limits)
-        except _RefusedError as refusal:
+            request = await self._reader.read(http, limits)
+        except RequestRefusedError as refusal:
             answer = Answer(http, self._link, lambda: True)
             await self._refuse(refusal.kind, refusal.detail, answer)
             await self._linger()
@@ -254,8 +226,9 @@
         if request is None:
             return False
         answer = Answer(http, self._link, lambda: self._acceptor.closes_after_answer)
+        self._is_answering = True
         await self._run_handler(request, answer)
-        self._is_idle = True
+        self._is_answering = False
         if not answer.is_finished:
             # The client must not take the answer for a complete one.
             self._link.abort()
@@ -277,96 +250,6 @@
             handler.cancel()
             await asyncio.gather(handler, return_exceptions=True)
 
-    async def _read_request(
-        self, http: h11.Connection, limits: AcceptLimits
-    ) -> IncomingRequest | None:
-        head = await self._read_head(limits)
-        if head is None:
-            return None
-        arrived = asyncio.get_running_loop().time()
-        try:
-            check_head(head)
-            http.receive_data(head)
-            event = http.next_event()
-        except (HeadError, h11.RemoteProtocolError) as error:
-            raise _RefusedError(ErrorKind.BAD_REQUEST, str(error)) from None
-        if not isinstance(event, h11.Request):
-            raise _RefusedError(ErrorKind.BAD_REQUEST, "no request")
-        body = await self._read_body(http, limits)
-        return IncomingRequest(
-            bytes(event.method),
-            bytes(event.target),
-            list(event.headers.raw_items()),
-            body,
-            arrived,
-        )
-
-    async def _read_head(self, limits: AcceptLimits) -> bytes | None:
-        """Return a whole head; None where the client ends or stays idle."""
-        self._is_idle = not self._buffer
-        try:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                if not self._buffer and not await self._receive():
-                    return None
-        except TimeoutError:
-            return None
-        self._is_idle = False
-        try:
-            async with asyncio.timeout(limits.head_timeout_s):
-                while (length := head_length(self._buffer)) is None:
-                    if len(self._buffer) > limits.max_head_bytes:
-                        raise _RefusedError(ErrorKind.HEAD_TOO_LARGE, "head too large")
-                    if not await self._receive():
-                        return None
-        except TimeoutError:
-            raise _RefusedError(
-                ErrorKind.REQUEST_TIMEOUT, "the head was not complete in time"
-            ) from None
-        if length > limits.max_head_bytes:
-            raise _RefusedError(ErrorKind.HEAD_TOO_LARGE, "head too large")
-        head, self._buffer = self._buffer[:length], self._buffer[length:]
-        return head
-
-    async def _read_body(self, http: h11.Connection, limits: AcceptLimits) -> bytes:
-        body = bytearray()
-        if http.they_are_waiting_for_100_continue:
-            proceed = h11.InformationalResponse(status_code=100, headers=[])
-            self._link.write(http.send(proceed) or b"")
-        if self._buffer:
-            http.receive_data(self._buffer)
-        self._buffer = b""
-        while True:
-            try:
-                event = http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _RefusedError(ErrorKind.BAD_REQUEST, str(error)) from None
-            if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.max_body_bytes:
-                    raise _RefusedError(ErrorKind.BODY_TOO_LARGE, "body too large")
-            elif isinstance(event, h11.EndOfMessage):
-                self._buffer = bytes(http.trailing_data[0])
-                return bytes(body)
-            else:
-                http.receive_data(await self._receive_body_bytes(limits))
-
-    async def _receive_body_bytes(self, limits: AcceptLimits) -> bytes:
-        try:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                data = await self._link.receive()
-        except TimeoutError:
-            raise _RefusedError(
-                ErrorKind.REQUEST_TIMEOUT, "the body was not complete in time"
-            ) from None
-        if not data:
-            raise ConnectionResetError("the client closed in the middle of a request")
-        return data
-
-    async def _receive(self) -> bool:
-        data = await self._link.receive()
-        self._buffer += data
-        return bool(data)
-
     async def _linger(self) -> None:
         left = _LINGER_BYTES
         try:
--- /dev/null
+++ b/packages/httpio/src/sardineyard/httpio/request_reader.py
@@ -0,0 +1,164 @@
+"""Strict reading of HTTP/1.1 requests from one connection."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import h11
+
+from sardineyard.core.errors import ErrorKind
+from sardineyard.httpio.head_check import HeadError, check_head, head_length
+
+if TYPE_CHECKING:
+    from sardineyard.httpio.fields import HeaderList
+    from sardineyard.httpio.link import SocketLink
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptLimits:
+    """Bound what a client may send; times in seconds."""
+
+    max_head_bytes: int
+    max_body_bytes: int
+    head_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class IncomingRequest:
+    """Hold one whole request with its header fields as they were sent."""
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    body: bytes
+    # Monotonic time at which its head was complete.
+    arrived: float
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+class RequestRefusedError(Exception):
+    """Report a request that breaks the protocol or a limit."""
+
+    def __init__(self, kind: ErrorKind, detail: str) -> None:
+        super().__init__(detail)
+        self.kind = kind
+        self.detail = detail
+
+
+class RequestReader:
+    """Read the requests of one connection in turn."""
+
+    def __init__(self, link: SocketLink) -> None:
+        self._link = link
+        self._buffer = b""
+        self._is_idle = True
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no byte of the next request has arrived."""
+        return self._is_idle
+
+    async def read(
+        self, http: h11.Connection, limits: AcceptLimits
+    ) -> IncomingRequest | None:
+        """Return the next request; None where the client ends or stays idle.
+
+        Raises RequestRefusedError, and OSError where the client breaks off.
+        """
+        head = await self._read_head(limits)
+        if head is None:
+            return None
+        arrived = asyncio.get_running_loop().time()
+        try:
+            check_head(head)
+            http.receive_data(head)
+            event = http.next_event()
+        except (HeadError, h11.RemoteProtocolError) as error:
+            raise RequestRefusedError(ErrorKind.BAD_REQUEST, str(error)) from None
+        if not isinstance(event, h11.Request):
+            raise RequestRefusedError(ErrorKind.BAD_REQUEST, "no request")
+        body = await self._read_body(http, limits)
+        return IncomingRequest(
+            bytes(event.method),
+            bytes(event.target),
+            list(event.headers.raw_items()),
+            body,
+            arrived,
+        )
+
+    async def _read_head(self, limits: AcceptLimits) -> bytes | None:
+        """Return a whole head; None where the client ends or stays idle."""
+        self._is_idle = not self._buffer
+        try:
+            async with asyncio.timeout(limits.idle_timeout_s):
+                if not self._buffer and not await self._receive():
+                    return None
+        except TimeoutError:
+            return None
+        self._is_idle = False
+        try:
+            async with asyncio.timeout(limits.head_timeout_s):
+                while (length := head_length(self._buffer)) is None:
+                    if len(self._buffer) > limits.max_head_bytes:
+                        raise RequestRefusedError(
+                            ErrorKind.HEAD_TOO_LARGE, "head too large"
+                        )
+                    if not await self._receive():
+                        return None
+        except TimeoutError:
+            raise RequestRefusedError(
+                ErrorKind.REQUEST_TIMEOUT, "the head was not complete in time"
+            ) from None
+        if length > limits.max_head_bytes:
+            raise RequestRefusedError(ErrorKind.HEAD_TOO_LARGE, "head too large")
+        head, self._buffer = self._buffer[:length], self._buffer[length:]
+        return head
+
+    async def _read_body(self, http: h11.Connection, limits: AcceptLimits) -> bytes:
+        body = bytearray()
+        if http.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(status_code=100, headers=[])
+            self._link.write(http.send(proceed) or b"")
+        if self._buffer:
+            http.receive_data(self._buffer)
+        self._buffer = b""
+        while True:
+            try:
+                event = http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise RequestRefusedError(ErrorKind.BAD_REQUEST, str(error)) from None
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.max_body_bytes:
+                    raise RequestRefusedError(
+                        ErrorKind.BODY_TOO_LARGE, "body too large"
+                    )
+            elif isinstance(event, h11.EndOfMessage):
+                self._buffer = bytes(http.trailing_data[0])
+                return bytes(body)
+            else:
+                http.receive_data(await self._receive_body_bytes(limits))
+
+    async def _receive_body_bytes(self, limits: AcceptLimits) -> bytes:
+        try:
+            async with asyncio.timeout(limits.idle_timeout_s):
+                data = await self._link.receive()
+        except TimeoutError:
+            raise RequestRefusedError(
+                ErrorKind.REQUEST_TIMEOUT, "the body was not complete in time"
+            ) from None
+        if not data:
+            raise ConnectionResetError("the client closed in the middle of a request")
+        return data
+
+    async def _receive(self) -> bool:
+        data = await self._link.receive()
+        self._buffer += data
+        return bool(data)
--- a/packages/httpio/tests/test_acceptor.py
+++ b/packages/httpio/tests/test_acceptor.py
@@ -9,13 +9,15 @@
 
 from sardineyard.core.address import Address
 from sardineyard.core.errors import ANSWERS
-from sardineyard.httpio.acceptor import AcceptLimits, Acceptor
+from sardineyard.httpio.acceptor import Acceptor
+from sardineyard.httpio.request_reader import AcceptLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sardineyard.core.errors import ErrorKind
-    from sardineyard.httpio.acceptor import Answer, IncomingRequest
+    from sardineyard.httpio.acceptor import Answer
+    from sardineyard.httpio.request_reader import IncomingRequest
 
 LIMITS = AcceptLimits(1_024, 4_096, 0.3, 0.6)
 Talk = "Callable[[bytes], bytes]"
