--- a/packages/standins/src/sardineyard/standins/fixtures.py
+++ b/packages/standins/src/sardineyard/standins/fixtures.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-
-# pytest names the modules of `platform/tests` after their folder; without the standard
-# library's module in place, its own stand-in for the folder would be found instead.
-import platform  # noqa: F401
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any, TypeAlias
 
