Draw map versions so that no two coordinators share one

Ruled out: a step released too early (all ranks were armed for version 13). Change: the low 20 bits of a version are random.

--- a/packages/experts/src/sardineyard/experts/switch.py
+++ b/packages/experts/src/sardineyard/experts/switch.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
+    from random import Random
 
     from sardineyard.core.clock import Clock, Deadline
     from sardineyard.core.ids import RankIndex
@@ -49,8 +50,15 @@
 _RETRY_PAUSE_S = 0.02
 # Time for which one order is repeated before another way on is looked for.
 _INSIST_S = 2.0
-# Distance of the version that is prepared only to make older orders ineffective.
-_VERSION_STEP = 1
+# Versions of one round differ in their low bits, which are random: a version that two
+# coordinators gave to different layouts would be armed with both.
+_VERSION_ROUND = 1 << 20
+
+
+def next_version(seen: int, rng: Random) -> MapVersion:
+    """Return a version above the greatest one that was seen, drawn at random."""
+    round_number = seen // _VERSION_ROUND + 1
+    return MapVersion(round_number * _VERSION_ROUND + rng.randrange(_VERSION_ROUND))
 
 
 class FencedError(Exception):
@@ -89,7 +97,8 @@
 class MapSwitch:
     """Change the map of one group in one epoch."""
 
-    def __init__(self, port: GroupPort, clock: Clock, epoch: int) -> None:
+    def __init__(self, port: GroupPort, clock: Clock, epoch: int, rng: Random) -> None:
+        self._rng = rng
         self._port = port
         self._clock = clock
         self._epoch = epoch
@@ -273,7 +282,7 @@
             extra={"event": "map_change_aborted", "epoch": self._epoch},
         )
         for _ in range(_HOLD_TRIES):
-            newest = MapVersion(newest + _VERSION_STEP)
+            newest = next_version(newest, self._rng)
             done = await asyncio.gather(
                 *(self._neutralize(rank, newest, current) for rank in self._port.ranks)
             )
--- a/packages/experts/tests/test_switch.py
+++ b/packages/experts/tests/test_switch.py
@@ -15,6 +15,7 @@
     FencedError,
     MapSwitch,
     SwitchResult,
+    next_version,
 )
 from sardineyard.standins.lockstep_group import (
     FakeGroup,
@@ -74,7 +75,7 @@
 
     def switch(self, port: FakePort) -> MapSwitch:
         """Return a switch that uses a port."""
-        return MapSwitch(port, self.clock, 1)
+        return MapSwitch(port, self.clock, 1, Random(7))
 
     def run(self, group: FakeGroup, work: Coroutine[Any, Any, Any]) -> Any:
         """Run work while the group begins steps."""
@@ -197,6 +198,41 @@
     assert all(rank.held is None for rank in group.ranks)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_coordinators_never_share_a_version(world: World, seed: int) -> None:
+    """Guards against one version that stands for two layouts.
+
+    Found by a hunt: tiritava-riga, trouble-2 --seed 529098972129, MAP. The successor
+    chooses its version from reports that it read before the other's orders arrived.
+    """
+    group = world.group(seed)
+    rng = Random(seed)
+
+    def version() -> MapVersion:
+        reports = [group.report(RankIndex(index)) for index in range(RANKS)]
+        return next_version(max(r.prepared or r.version for r in reports), rng)
+
+    async def work() -> None:
+        port = FakePort(group, 1)
+        other, own = version(), version()
+        # Only some ranks get the first coordinator's order before it is paused.
+        group.late_share = 0.6
+        first = asyncio.ensure_future(change(world.switch(port), other, 1))
+        await asyncio.sleep(0.01)
+        port.paused.clear()
+        group.late_share = 0.0
+        await asyncio.sleep(0.5)
+        second = world.switch(FakePort(group, 2))
+        await change(second, own, 2)
+        await finish(second, group)
+        port.paused.set()
+        await asyncio.gather(first, return_exceptions=True)
+
+    world.run(group, work())
+    assert group.mixed_steps == 0
+    assert all(rank.held is None for rank in group.ranks)
+
+
 def test_a_greater_number_stops_the_change(world: World) -> None:
     """Guards against two coordinators that give orders in turn."""
     group = world.group(1)
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -22,6 +22,7 @@
     FencedError,
     MapSwitch,
     SwitchResult,
+    next_version,
 )
 from sardineyard.rebalancer.counts import CountsPushed
 from sardineyard.rebalancer.local_rank import PUSH_S
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
+    from random import Random
 
     from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
@@ -62,8 +64,6 @@
 _LEAST_CHOICES = 2_000.0
 # Ranks have a part of each fencing number to themselves.
 _FENCE_PER_TERM = 1 << 12
-# Distance to versions that a rank may have had and does not report.
-_VERSION_GAP = 16
 _LARGEST_TERM = 1 << 40
 
 
@@ -79,6 +79,7 @@
         local: LocalRank,
         open_runner: Callable[[Address], GroupRunner],
         clock: Clock,
+        rng: Random,
         metrics: RebalancerMetrics,
     ) -> None:
         self.mailbox = mailbox
@@ -88,6 +89,7 @@
         self._local = local
         self._open_runner = open_runner
         self._clock = clock
+        self._rng = rng
         self._metrics = metrics
         self._engine: EngineProfile | None = None
         self._members: dict[str, Member | OwnMember] = {}
@@ -251,7 +253,7 @@
 
     def _switch(self, fence: FencingNumber) -> MapSwitch:
         members = GroupMembers(self._group, self._epoch, fence)
-        return MapSwitch(members, self._clock, self._epoch)
+        return MapSwitch(members, self._clock, self._epoch, self._rng)
 
     async def _gather(
         self, members: Sequence[Member | OwnMember], request: GatherRequest
@@ -374,8 +376,6 @@
             self._changes += 1
         else:
             self._layout = None
-            if result is SwitchResult.NOT_PREPARED:
-                self._last_version += _VERSION_GAP
 
     def _own_rank(self) -> RankIndex:
         return next(r for r, m in self._group.items() if isinstance(m, OwnMember))
@@ -385,8 +385,9 @@
             max(report.version, report.prepared or 0, report.armed or 0)
             for report in self._reports.values()
         )
-        self._last_version = max(seen, self._last_version) + 1
-        return MapVersion(self._last_version)
+        version = next_version(max(seen, self._last_version), self._rng)
+        self._last_version = version
+        return version
 
     def _step_down(self, reason: str) -> None:
         _logger.info(
--- a/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
@@ -79,6 +79,7 @@
             self._local,
             open_runner,
             clock,
+            self._rng,
             metrics,
         )
         self._keeper.subscribe(self._coordinator.mailbox)
--- a/packages/rebalancer/tests/test_coordinator.py
+++ b/packages/rebalancer/tests/test_coordinator.py
@@ -66,6 +66,7 @@
             local,
             lambda address: FakeRunner(group, rank_of(address.host)),
             clock,
+            Random(rank),
             RebalancerMetrics(f"rebalancer-{rank}"),
         )
         news.post(catalog())
