Drop the popularity of experts from before a shift

Cause: the estimate averaged counts with a half-life of 0.5 s, so that the first map after a shift was planned for a mean of the popularity before and after it, and a second and third change had to correct it.

Ruled out: a shorter half-life alone follows sampling noise and loads copies for nothing.

Change: PopularityTracker compares new counts with the estimate set by set and restarts the estimate where they differ by more than samples do. After a shift the coordinator waits for one more round, since the ranks report at different moments. Each map_change line tells how long its phases took.

What remains of a shift is the time to see it, to load the copies and to reach the step from which the map holds.

--- /dev/null
+++ b/packages/experts/src/sardineyard/experts/popularity.py
@@ -0,0 +1,112 @@
+"""Popularity of experts, from counts that ranks report at different moments."""
+
+from __future__ import annotations
+
+from math import pi, sqrt
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import RankIndex
+
+# Half-life of the estimate while popularity stays the same.
+_HALF_LIFE_S = 1.0
+# Choices of one set below which new counts are noise; they are kept until there are
+# more.
+_LEAST_CHOICES = 500
+# Part of the choices that has to move to other experts before the counts from before
+# are dropped, beyond what samples of that size differ by. Counts of 0.1 s differ from
+# the estimate by up to 0.15 without a shift, by 0.29 and more with one (measured).
+_SHIFTED_SHARE = 0.16
+# Requests choose several experts for each token, and samples of one prompt alike, so
+# counts vary more than independent choices do.
+_CORRELATION = 2.0
+
+
+class PopularityTracker:
+    """Estimate how often each expert is chosen now.
+
+    Counts that differ clearly from the estimate replace it: an average over a shift
+    would be level for neither popularity.
+    """
+
+    def __init__(self, clock: Clock, sets: int, experts: int) -> None:
+        self._clock = clock
+        self._sets = sets
+        self._experts = experts
+        self._estimates = [[0.0] * experts for _ in range(sets)]
+        self._fresh = [[0.0] * experts for _ in range(sets)]
+        self._seen: dict[RankIndex, tuple[int, Sequence[int]]] = {}
+        self._updated_at = clock.now()
+        self._shifted = 0.0
+
+    @property
+    def loads(self) -> tuple[float, ...]:
+        """Return the estimated choices of each expert, set by set."""
+        return tuple(load for estimate in self._estimates for load in estimate)
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether every set has an estimate."""
+        return all(map(any, self._estimates))
+
+    @property
+    def shifted_share(self) -> float:
+        """Return the greatest part of a set's choices that the last update moved."""
+        return self._shifted
+
+    def observe(
+        self, rank: RankIndex, started_ms: int, counters: Sequence[int]
+    ) -> None:
+        """Take in the counters of one rank, which only grow in one incarnation."""
+        if len(counters) != self._sets * self._experts:
+            return
+        known = self._seen.get(rank)
+        self._seen[rank] = (started_ms, counters)
+        if known is None or known[0] != started_ms:
+            return
+        for index, (now, before) in enumerate(zip(counters, known[1], strict=True)):
+            if now > before:
+                part, expert = divmod(index, self._experts)
+                self._fresh[part][expert] += now - before
+
+    def update(self) -> bool:
+        """Fold the new counts in; return whether popularity has shifted meanwhile."""
+        now = self._clock.now()
+        keep = 0.5 ** ((now - self._updated_at) / _HALF_LIFE_S)
+        self._updated_at = now
+        has_shifted = False
+        self._shifted = 0.0
+        for part, fresh in enumerate(self._fresh):
+            if sum(fresh) < _LEAST_CHOICES:
+                continue
+            estimate = self._estimates[part]
+            moved = _moved_share(fresh, estimate)
+            self._shifted = max(self._shifted, moved)
+            if moved > _SHIFTED_SHARE + _CORRELATION * _noise(fresh):
+                has_shifted = True
+                self._estimates[part] = fresh
+            else:
+                self._estimates[part] = [
+                    keep * old + new for old, new in zip(estimate, fresh, strict=True)
+                ]
+            self._fresh[part] = [0.0] * self._experts
+        return has_shifted
+
+
+def _moved_share(fresh: Sequence[float], estimate: Sequence[float]) -> float:
+    """Return the part of the choices that differs (total variation distance)."""
+    chosen, known = sum(fresh), sum(estimate)
+    if not known:
+        return 0.0
+    return 0.5 * sum(
+        abs(new / chosen - old / known)
+        for new, old in zip(fresh, estimate, strict=True)
+    )
+
+
+def _noise(fresh: Sequence[float]) -> float:
+    """Return the distance to expect between a sample and what it is drawn from."""
+    return 0.5 * sqrt(2 * len(fresh) / (pi * sum(fresh)))
--- a/packages/experts/src/sardineyard/experts/switch.py
+++ b/packages/experts/src/sardineyard/experts/switch.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import logging
+from contextlib import contextmanager
 from enum import Enum, unique
 from typing import TYPE_CHECKING, Protocol
 
@@ -27,7 +28,7 @@
 from sardineyard.experts.maps import MapVersion
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Iterator, Mapping, Sequence
     from random import Random
 
     from sardineyard.core.clock import Clock, Deadline
@@ -102,6 +103,12 @@
         self._port = port
         self._clock = clock
         self._epoch = epoch
+        self._durations_s: dict[str, float] = {}
+
+    @property
+    def durations_s(self) -> dict[str, float]:
+        """Return how long each phase of the last change took, in seconds."""
+        return dict(self._durations_s)
 
     async def change(
         self,
@@ -111,12 +118,16 @@
         holder: RankIndex,
     ) -> SwitchResult:
         """Switch all ranks to a map; raise FencedError or EpochEndedError."""
-        if not await self.prepare(version, layout):
+        with self._timed("prepare"):
+            is_prepared = await self.prepare(version, layout)
+        if not is_prepared:
             return SwitchResult.NOT_PREPARED
-        step = await self._hold(holder)
+        with self._timed("hold"):
+            step = await self._hold(holder)
         if step is None:
             return SwitchResult.NOT_HELD
-        return await self._arm_and_release(version, step, holder, current)
+        with self._timed("arm"):
+            return await self._arm_and_release(version, step, holder, current)
 
     async def prepare(self, version: MapVersion, layout: Layout) -> bool:
         """Return whether every rank has loaded a map."""
@@ -127,6 +138,14 @@
         )
         return all(done)
 
+    @contextmanager
+    def _timed(self, phase: str) -> Iterator[None]:
+        began = self._clock.now()
+        try:
+            yield
+        finally:
+            self._durations_s[phase] = self._clock.now() - began
+
     async def finish(
         self, reports: Mapping[RankIndex, RankReport], current: Layout
     ) -> SwitchResult:
--- a/packages/experts/tests/conftest.py
+++ b/packages/experts/tests/conftest.py
@@ -299,3 +299,9 @@
 def clock() -> ManualClock:
     """Return a clock that stands still."""
     return ManualClock()
+
+
+@pytest.fixture
+def rng() -> Random:
+    """Return seeded random numbers."""
+    return Random(1)
--- /dev/null
+++ b/packages/experts/tests/test_popularity.py
@@ -0,0 +1,91 @@
+"""Tests of the popularity estimate."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from sardineyard.core.ids import RankIndex
+from sardineyard.experts.popularity import PopularityTracker
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+    from random import Random
+
+    from sardineyard.core.clock import ManualClock
+
+EXPERTS = 16
+RANKS = 4
+ROUND_S = 0.2
+FIRST = [float(EXPERTS - expert) for expert in range(EXPERTS)]
+SECOND = FIRST[::-1]
+
+
+@pytest.fixture
+def tracker(clock: ManualClock) -> PopularityTracker:
+    """Return a tracker of one set."""
+    return PopularityTracker(clock, 1, EXPERTS)
+
+
+@pytest.fixture
+def play_round(
+    clock: ManualClock, tracker: PopularityTracker, rng: Random
+) -> Callable[[Sequence[float]], bool]:
+    """Return a function that lets all ranks choose experts and report."""
+    counters = [[0] * EXPERTS for _ in range(RANKS)]
+    for rank in range(RANKS):
+        tracker.observe(RankIndex(rank), 1, [0] * EXPERTS)
+
+    def play(popularity: Sequence[float]) -> bool:
+        clock.advance(ROUND_S)
+        for rank, counter in enumerate(counters):
+            for expert in rng.choices(range(EXPERTS), popularity, k=1000):
+                counter[expert] += 1
+            tracker.observe(RankIndex(rank), 1, list(counter))
+        return tracker.update()
+
+    return play
+
+
+def distance(tracker: PopularityTracker, popularity: Sequence[float]) -> float:
+    """Return the part of the choices that the estimate has at other experts."""
+    total, mass = sum(tracker.loads), sum(popularity)
+    return 0.5 * sum(
+        abs(load / total - share / mass)
+        for load, share in zip(tracker.loads, popularity, strict=True)
+    )
+
+
+def test_a_shift_replaces_the_estimate_in_one_round(tracker, play_round) -> None:
+    """Guard against plans for an average of the popularity before and after."""
+    for _ in range(20):
+        play_round(FIRST)
+    assert play_round(SECOND)
+    assert distance(tracker, SECOND) < 0.05
+
+
+def test_sampling_noise_is_no_shift(tracker, play_round) -> None:
+    """Guard against an estimate that restarts with every sample."""
+    play_round(FIRST)
+    assert not any(play_round(FIRST) for _ in range(50))
+    assert distance(tracker, FIRST) < 0.02
+
+
+def test_a_restarted_rank_adds_no_choices(tracker, clock) -> None:
+    """Guard against counters of two incarnations taken as one."""
+    tracker.observe(RankIndex(0), 1, [1000] * EXPERTS)
+    tracker.observe(RankIndex(0), 2, [2000] * EXPERTS)
+    tracker.update()
+    assert not tracker.is_known
+
+
+def test_few_choices_are_kept_until_there_are_enough(tracker) -> None:
+    """Guard against an idle group whose few choices are dropped or overrated."""
+    tracker.observe(RankIndex(0), 1, [0] * EXPERTS)
+    for count in range(10, 41, 10):
+        assert not tracker.is_known
+        tracker.observe(RankIndex(0), 1, [count] * EXPERTS)
+        tracker.update()
+    assert tracker.is_known
+    assert sum(tracker.loads) == pytest.approx(40 * EXPERTS)
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.catalog.messages import CatalogChanged
-from sardineyard.core.ids import FencingNumber, Incarnation, RankIndex, UpstreamId
+from sardineyard.core.ids import FencingNumber, RankIndex
 from sardineyard.experts.leveling import (
     GroupShape,
     is_whole,
@@ -15,8 +15,8 @@
     level,
     mean_skew,
 )
-from sardineyard.experts.load import LoadTracker
 from sardineyard.experts.maps import MapVersion
+from sardineyard.experts.popularity import PopularityTracker
 from sardineyard.experts.switch import (
     EpochEndedError,
     FencedError,
@@ -30,7 +30,7 @@
 from sardineyard.rebalancer.messages import GatherRequest, GroupDump
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
     from random import Random
 
     from sardineyard.core.address import Address
@@ -58,10 +58,6 @@
 _TAKEOVER_STEPS = 8
 # A coordinator that was deposed leaves the group alone for this time.
 _DEPOSED_S = 3.0
-# Half-life of the popularity estimate: a few rounds, and less than popularity lasts.
-_HALF_LIFE_S = 0.5
-# Choices below which the estimate follows noise.
-_LEAST_CHOICES = 2_000.0
 # Ranks have a part of each fencing number to themselves.
 _FENCE_PER_TERM = 1 << 12
 _LARGEST_TERM = 1 << 40
@@ -100,7 +96,8 @@
         self._layout: Layout | None = None
         self._layout_version = MapVersion(-1)
         self._last_version = 0
-        self._tracker: LoadTracker | None = None
+        self._tracker: PopularityTracker | None = None
+        self._has_shifted = False
         self._rounds = 0
         self._epoch_began = clock.now()
         self._pushed: dict[RankIndex, tuple[float, CountsPushed]] = {}
@@ -208,7 +205,8 @@
             return
         await self._ask_silent(fence)
         self._observe()
-        await self._improve(engine, fence)
+        if not self._is_settling():
+            await self._improve(engine, fence)
 
     async def _ask_silent(self, fence: FencingNumber) -> None:
         """Ask the ranks for their counts whose datagrams do not arrive."""
@@ -301,11 +299,8 @@
         self._epoch = epoch
         self._epoch_began = self._clock.now()
         self._layout = None
-        self._tracker = LoadTracker(
-            self._clock,
-            engine.layer_sets * engine.experts,
-            _HALF_LIFE_S,
-            _LEAST_CHOICES,
+        self._tracker = PopularityTracker(
+            self._clock, engine.layer_sets, engine.experts
         )
 
     def _learn_layout(self, shape: GroupShape, replies: list[GatherReply]) -> bool:
@@ -337,7 +332,7 @@
         assert self._layout is not None
         result = await switch.finish(reports, self._layout)
         if result is not SwitchResult.NOTHING_TO_DO:
-            self._log_change(result, None)
+            self._log_change(result, None, switch.durations_s)
             self._layout = None
         return True
 
@@ -346,20 +341,32 @@
         for rank, (_, news) in self._pushed.items():
             if news.counts.epoch > self._epoch:
                 raise EpochEndedError(f"epoch {news.counts.epoch}")
-            is_current = news.counts.epoch == self._epoch and rank in self._group
-            if is_current and len(news.counts.counts) == len(self._tracker.loads):
-                self._tracker.observe(
-                    UpstreamId(str(rank)),
-                    Incarnation(news.started_ms),
-                    news.counts.counts,
-                )
+            if news.counts.epoch == self._epoch and rank in self._group:
+                self._tracker.observe(rank, news.started_ms, news.counts.counts)
+
+    def _is_settling(self) -> bool:
+        """Return whether popularity has just shifted, so that counts mix two of them.
+
+        The ranks report at different moments: only counts that were begun after the
+        shift show the new popularity alone.
+        """
+        assert self._tracker is not None
+        had_shifted, self._has_shifted = self._has_shifted, self._tracker.update()
+        if self._has_shifted:
+            _logger.info(
+                "the popularity of experts has shifted",
+                extra={
+                    "event": "popularity_shifted",
+                    "epoch": self._epoch,
+                    "shifted_share": round(self._tracker.shifted_share, 3),
+                },
+            )
+        return not self._tracker.is_known or (self._has_shifted and not had_shifted)
 
     async def _improve(self, engine: EngineProfile, fence: FencingNumber) -> None:
         assert self._tracker is not None
         assert self._layout is not None
         loads = self._tracker.loads
-        if sum(loads) < _LEAST_CHOICES:
-            return
         shape = _shape(engine, len(self._group))
         self._skew = mean_skew(shape, self._layout, loads)
         self._metrics.skew(self._skew)
@@ -367,10 +374,11 @@
         if planned is None or not planned.is_worth_it:
             return
         version = self._next_version()
-        result = await self._switch(fence).change(
+        switch = self._switch(fence)
+        result = await switch.change(
             version, planned.layout, self._layout, self._own_rank()
         )
-        self._log_change(result, planned)
+        self._log_change(result, planned, switch.durations_s)
         if result is SwitchResult.SWITCHED:
             self._layout, self._layout_version = planned.layout, version
             self._changes += 1
@@ -411,7 +419,12 @@
         )
         self._layout = None
 
-    def _log_change(self, result: SwitchResult, planned: Leveling | None) -> None:
+    def _log_change(
+        self,
+        result: SwitchResult,
+        planned: Leveling | None,
+        durations_s: Mapping[str, float],
+    ) -> None:
         self._metrics.map_change(result.value)
         _logger.info(
             "a change of the expert map ended",
@@ -423,6 +436,10 @@
                 "skew_before": round(planned.skew_before, 3) if planned else None,
                 "skew_planned": round(planned.skew_after, 3) if planned else None,
                 "copies": planned.copies if planned else None,
+                "durations_ms": {
+                    phase: round(seconds * 1000)
+                    for phase, seconds in durations_s.items()
+                },
             },
         )
 
