Give slow ranks fewer experts

Cause: a pass lasts as long as its slowest rank, and the planner took all ranks as equally fast.

Ruled out: the limit of streams, which follows the measured pauses.

Change: a rank's report holds its slowdown (the platform's pace, above 1 where it is slow), and the planner levels times instead of loads.

--- a/packages/experts/src/sardineyard/experts/group.py
+++ b/packages/experts/src/sardineyard/experts/group.py
@@ -36,6 +36,8 @@
     armed: MapVersion | None
     armed_step: StepNumber | None
     held_step: StepNumber | None
+    # Time of the rank's own work over the usual time.
+    slowdown: float = 1.0
 
 
 class RankCounts(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/experts/src/sardineyard/experts/leveling.py
+++ b/packages/experts/src/sardineyard/experts/leveling.py
@@ -68,9 +68,16 @@
     ]
 
 
-def mean_skew(shape: GroupShape, layout: Layout, loads: Sequence[float]) -> float:
-    """Return the largest over the mean load of the ranks, averaged over the sets."""
-    speeds = [1.0] * shape.ranks
+def mean_skew(
+    shape: GroupShape,
+    layout: Layout,
+    loads: Sequence[float],
+    speeds: Sequence[float],
+) -> float:
+    """Return the largest over the mean time of the ranks, averaged over the sets.
+
+    The speed of a rank is 1 where it works as fast as usual.
+    """
     skews = [
         step_skew(placement, part, speeds)
         for placement, part in zip(layout, split_sets(shape, loads), strict=True)
@@ -78,12 +85,16 @@
     return sum(skews) / len(skews)
 
 
-def level(shape: GroupShape, layout: Layout, loads: Sequence[float]) -> Leveling | None:
+def level(
+    shape: GroupShape,
+    layout: Layout,
+    loads: Sequence[float],
+    speeds: Sequence[float],
+) -> Leveling | None:
     """Return a layout with less skew; None where the one in use is level enough."""
-    before = mean_skew(shape, layout, loads)
+    before = mean_skew(shape, layout, loads, speeds)
     if before < _TRIGGER:
         return None
-    speeds = [1.0] * shape.ranks
     most_per_change = max(1, int(_COPY_TIME_S / max(shape.copy_s, 1e-6)))
     allowances = [[0] * shape.ranks for _ in range(shape.sets)]
     refiners = [
@@ -107,7 +118,7 @@
     return Leveling(
         new,
         before,
-        mean_skew(shape, new, loads),
+        mean_skew(shape, new, loads, speeds),
         sum(copies),
         max(copies) * shape.copy_s,
     )
--- a/packages/experts/tests/test_leveling.py
+++ b/packages/experts/tests/test_leveling.py
@@ -16,6 +16,7 @@
 
 COPY_S = 0.11
 SHAPE = GroupShape(16, 4, 64, 5, 2, COPY_S)
+SPEEDS = [1.0] * SHAPE.ranks
 SEEDS = range(6)
 
 
@@ -57,7 +58,7 @@
     """Guard against a group that stays unlevel until the last copy is loaded."""
     rng.seed(seed)
     layout = first_layout()
-    planned = level(SHAPE, layout, loads)
+    planned = level(SHAPE, layout, loads, SPEEDS)
     assert planned is not None
     assert planned.copy_time_s <= 0.25
     copies = copies_by_rank(layout, planned.layout)
@@ -70,9 +71,18 @@
 def test_repeated_changes_level_the_group_and_end(loads) -> None:
     """Guard against changes that never reach the goal or never stop."""
     layout, changes = first_layout(), 0
-    while (planned := level(SHAPE, layout, loads)) and planned.is_worth_it:
+    while (planned := level(SHAPE, layout, loads, SPEEDS)) and planned.is_worth_it:
         layout = planned.layout
         changes += 1
         assert is_whole(SHAPE, layout)
     assert changes <= 4
-    assert mean_skew(SHAPE, layout, loads) < 1.2
+    assert mean_skew(SHAPE, layout, loads, SPEEDS) < 1.2
+
+
+def test_a_slow_rank_gets_less_of_the_load(loads) -> None:
+    """Guard against one slow rank that makes every step of the group slow."""
+    speeds = [1 / 5, *SPEEDS[1:]]
+    layout = first_layout()
+    while (planned := level(SHAPE, layout, loads, speeds)) and planned.is_worth_it:
+        layout = planned.layout
+    assert mean_skew(SHAPE, layout, loads, speeds) < 1.5
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -368,9 +368,10 @@
         assert self._layout is not None
         loads = self._tracker.loads
         shape = _shape(engine, len(self._group))
-        self._skew = mean_skew(shape, self._layout, loads)
+        speeds = [1 / self._reports[rank].slowdown for rank in self._group]
+        self._skew = mean_skew(shape, self._layout, loads, speeds)
         self._metrics.skew(self._skew)
-        planned = level(shape, self._layout, loads)
+        planned = level(shape, self._layout, loads, speeds)
         if planned is None or not planned.is_worth_it:
             return
         version = self._next_version()
@@ -439,6 +440,7 @@
                 "fence": self._fence,
                 "skew_before": round(planned.skew_before, 3) if planned else None,
                 "skew_planned": round(planned.skew_after, 3) if planned else None,
+                "slowest_rank": max(r.slowdown for r in self._reports.values()),
                 "copies": planned.copies if planned else None,
                 "durations_ms": {
                     phase: round(seconds * 1000)
