Raise the number of a coordinator that ranks have outgrown

Cause: ranks remember the greatest number of a coordinator, and rebalancers that all restarted begin with the smallest one.

Ruled out: a coordinator that lives; none was heard of by any rebalancer.

Change: a number that a rank refuses while no rebalancer knows a greater one is doubled at once, eight times at most. A greater number that a rebalancer knows deposes the sender of an order as it does for a reading.

--- a/packages/experts/src/sardineyard/experts/switch.py
+++ b/packages/experts/src/sardineyard/experts/switch.py
@@ -67,6 +67,10 @@
     """Report that another coordinator gives orders with a greater number."""
 
 
+class RefusedFenceError(FencedError):
+    """Report that a rank has seen a greater number, maybe of one that is gone."""
+
+
 class EpochEndedError(Exception):
     """Report that the group was formed anew, which undoes every change."""
 
@@ -367,7 +371,7 @@
     async def _give(self, rank: RankIndex, order: MapOrder) -> OrderResult:
         result = await self._port.order(rank, order)
         if result is OrderResult.FENCED:
-            raise FencedError(f"rank {rank}")
+            raise RefusedFenceError(f"rank {rank}")
         if result is OrderResult.REFUSED:
             # An order of an earlier epoch is refused as well.
             await self._report(rank)
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -21,6 +21,7 @@
     EpochEndedError,
     FencedError,
     MapSwitch,
+    RefusedFenceError,
     SwitchResult,
     next_version,
 )
@@ -58,6 +59,9 @@
 _TAKEOVER_STEPS = 8
 # A coordinator that was deposed leaves the group alone for this time.
 _DEPOSED_S = 3.0
+# Numbers that are tried one after the other. Terms double, so that few suffice after
+# many coordinators; more refusals mean one that cannot be heard.
+_MOST_RAISES = 8
 # Ranks have a part of each fencing number to themselves.
 _FENCE_PER_TERM = 1 << 12
 _LARGEST_TERM = 1 << 40
@@ -92,6 +96,7 @@
         self._fence: FencingNumber | None = None
         self._term = 0
         self._deposed_until = 0.0
+        self._raises = 0
         self._epoch = -1
         self._layout: Layout | None = None
         self._layout_version = MapVersion(-1)
@@ -166,6 +171,8 @@
             return
         try:
             await self._level_group(self._engine)
+        except RefusedFenceError as error:
+            self._raise_fence(str(error))
         except FencedError as error:
             self._step_down(str(error))
         except EpochEndedError as error:
@@ -387,6 +394,7 @@
         if result is SwitchResult.SWITCHED:
             self._layout, self._layout_version = planned.layout, version
             self._changes += 1
+            self._raises = 0
         else:
             self._layout = None
 
@@ -402,6 +410,29 @@
         self._last_version = version
         return version
 
+    def _raise_fence(self, reason: str) -> None:
+        """Take a greater number, as ranks remember those of ended coordinators.
+
+        A coordinator that lives is heard of through the rebalancers of its ranks.
+        """
+        self._raises += 1
+        if self._raises > _MOST_RAISES:
+            self._step_down(reason)
+            return
+        assert self._fence is not None
+        previous, rank = self._fence, self._fence % _FENCE_PER_TERM
+        self._term = min(_LARGEST_TERM, self._term * 2)
+        self._fence = FencingNumber(self._term * _FENCE_PER_TERM + rank)
+        _logger.info(
+            "a rank knows a greater number, a still greater one is used",
+            extra={
+                "event": "fence_raised",
+                "fence": self._fence,
+                "previous_fence": previous,
+                "reason": reason,
+            },
+        )
+
     def _step_down(self, reason: str) -> None:
         _logger.info(
             "another process coordinates the group",
@@ -415,6 +446,7 @@
         self._term = min(_LARGEST_TERM, self._term * 2)
         self._fence = None
         self._layout = None
+        self._raises = 0
         self._deposed_until = self._clock.now() + _DEPOSED_S
 
     def _forget_group(self, reason: str) -> None:
--- a/packages/rebalancer/src/sardineyard/rebalancer/members.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/members.py
@@ -75,7 +75,7 @@
         if self._clock.now() >= self._direct_until:
             reply = await self._channel.order(request)
             if reply is not None:
-                return reply.result
+                return _result(request, reply)
             self._go_direct()
             return OrderResult.UNANSWERED
         return await self._runner.order(request.order, request.epoch, request.fence)
@@ -113,12 +113,18 @@
         """Give an order; raise FencedError."""
         reply: Reply[OrderReply] = Reply()
         self._local.mailbox.post(OrderAsked(request, reply))
-        return (await reply.wait()).result
+        return _result(request, await reply.wait())
 
     def close(self) -> None:
         """Keep the runner's connection, which its owner closes."""
 
 
+def _result(request: OrderRequest, reply: OrderReply) -> OrderResult:
+    if reply.known_fence > request.fence:
+        raise FencedError(str(reply.known_fence))
+    return reply.result
+
+
 class GroupMembers:
     """Reach the ranks of one group in one epoch; implements GroupPort."""
 
--- a/packages/rebalancer/tests/test_coordinator.py
+++ b/packages/rebalancer/tests/test_coordinator.py
@@ -14,7 +14,7 @@
 from sardineyard.catalog.peers import NewsCodec
 from sardineyard.core.address import Address
 from sardineyard.core.clock import SystemClock
-from sardineyard.core.ids import FailureDomain, RankIndex, ServiceName
+from sardineyard.core.ids import FailureDomain, FencingNumber, RankIndex, ServiceName
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.tasks import TaskSet
 from sardineyard.experts.maps import step_skew
@@ -199,3 +199,17 @@
         await until(lambda: group.step > step + 10, 5.0)
 
     run_group(test)
+
+
+def test_ranks_that_remember_a_greater_number_are_levelled_soon(
+    run_group: Callable[..., None],
+) -> None:
+    """Guards against seconds without a coordinator after all of them restarted."""
+
+    async def test(group: FakeGroup, rebalancers: list[Rebalancer]) -> None:
+        for rank in group.ranks:
+            rank.fence = FencingNumber(5 << 12)
+        before = skew(group)
+        await until(lambda: skew(group) < 0.7 * before, 3.5)
+
+    run_group(test)
