Scale the published time of a pass to limit streams

Cause: the limit took the time of an empty pass as fixed and all the rest as proportional to the streams. Skew lengthens the empty part as well, so few streams at a skew of 3 looked like a slope that left room for 1.1 streams a rank, and the limit closed the service after each shift: requests waited 0.4 to 0.8 s while no pause came near the allowed 120 ms. The mean pass was also kept at 0.58 of the allowed pause, chosen when a map took over a second to follow.

Late answers are left where a shift meets 70 streams and more (pauses of 132 to 169 ms for 0.5 s).

--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -180,7 +180,9 @@
         load = self._services.get(service)
         if load is None or load.model is None or not upstreams:
             return
-        load.model.observe(pause_s, self._total(upstreams) / len(upstreams))
+        load.model.observe(
+            pause_s, self._total(upstreams) / len(upstreams), load.allowed_pause_s
+        )
 
     def observe_first_event(self, service: ServiceName, seconds: float) -> None:
         """Take in the time from a place to the first event of a stream."""
