Switch maps at a later step where orders stay unanswered

Ruled out: a later step for every change; after a shift it costs 0.1 s a step.

Change: a change with an unanswered order holds the eighth step instead of the next one, so that the repeats end before it begins.

--- a/packages/experts/src/sardineyard/experts/switch.py
+++ b/packages/experts/src/sardineyard/experts/switch.py
@@ -48,6 +48,10 @@
 # to all ranks take 12 to 31 ms (measured, 16 ranks), a step of an unlevel group 100 ms
 # and more: waiting for a later step costs more than a short stop before the next one.
 _STEPS_AHEAD = 1
+# The same where an order of this change stayed without an answer: repeating orders
+# takes half a second then, which is the time of eight level steps, and a group that
+# stands still for so long makes every stream late.
+_STEPS_AHEAD_UNANSWERED = 8
 _HOLD_TRIES = 4
 _RETRY_PAUSE_S = 0.02
 # Time for which one order is repeated before another way on is looked for.
@@ -109,12 +113,18 @@
         self._clock = clock
         self._epoch = epoch
         self._durations_s: dict[str, float] = {}
+        self._unanswered = 0
 
     @property
     def durations_s(self) -> dict[str, float]:
         """Return how long each phase of the last change took, in seconds."""
         return dict(self._durations_s)
 
+    @property
+    def unanswered(self) -> int:
+        """Return how many orders stayed without an answer."""
+        return self._unanswered
+
     async def change(
         self,
         version: MapVersion,
@@ -261,7 +271,8 @@
             report = await self._report(holder)
             if report is None or report.held_step is not None:
                 return None
-            step = StepNumber(report.step + _STEPS_AHEAD + attempt)
+            ahead = _STEPS_AHEAD_UNANSWERED if self._unanswered else _STEPS_AHEAD
+            step = StepNumber(report.step + ahead + attempt)
             result = await self._insist(holder, HoldStep(step))
             if result.is_accepted:
                 return step
@@ -370,6 +381,7 @@
 
     async def _give(self, rank: RankIndex, order: MapOrder) -> OrderResult:
         result = await self._port.order(rank, order)
+        self._unanswered += result is OrderResult.UNANSWERED
         if result is OrderResult.FENCED:
             raise RefusedFenceError(f"rank {rank}")
         if result is OrderResult.REFUSED:
--- a/packages/experts/tests/test_switch.py
+++ b/packages/experts/tests/test_switch.py
@@ -166,6 +166,18 @@
     assert all(rank.held is None for rank in group.ranks)
 
 
+def test_unanswered_orders_hardly_stop_the_group(world: World) -> None:
+    """Guards against a group that stands still while orders are repeated."""
+    held = 0
+    for seed in range(20):
+        group = world.group(seed)
+        group.late_share = 0.35
+        switch = world.switch(FakePort(group, 1))
+        assert world.run(group, change(switch)) is SwitchResult.SWITCHED
+        held += group.held_steps
+    assert held <= 20
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_change_of_a_killed_coordinator_is_ended(world: World, seed: int) -> None:
     """Guards against a group that stands still after its coordinator died."""
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -31,7 +31,7 @@
 from sardineyard.rebalancer.messages import GatherRequest, GroupDump
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping, Sequence
+    from collections.abc import Callable, Sequence
     from random import Random
 
     from sardineyard.core.address import Address
@@ -339,7 +339,7 @@
         assert self._layout is not None
         result = await switch.finish(reports, self._layout)
         if result is not SwitchResult.NOTHING_TO_DO:
-            self._log_change(result, None, switch.durations_s)
+            self._log_change(result, None, switch)
             self._layout = None
         return True
 
@@ -390,7 +390,7 @@
             self._own_rank(),
             planned.copy_time_s,
         )
-        self._log_change(result, planned, switch.durations_s)
+        self._log_change(result, planned, switch)
         if result is SwitchResult.SWITCHED:
             self._layout, self._layout_version = planned.layout, version
             self._changes += 1
@@ -460,7 +460,7 @@
         self,
         result: SwitchResult,
         planned: Leveling | None,
-        durations_s: Mapping[str, float],
+        switch: MapSwitch,
     ) -> None:
         self._metrics.map_change(result.value)
         _logger.info(
@@ -476,8 +476,9 @@
                 "copies": planned.copies if planned else None,
                 "durations_ms": {
                     phase: round(seconds * 1000)
-                    for phase, seconds in durations_s.items()
+                    for phase, seconds in switch.durations_s.items()
                 },
+                "unanswered": switch.unanswered,
             },
         )
 
--- a/packages/standins/src/sardineyard/standins/lockstep_group.py
+++ b/packages/standins/src/sardineyard/standins/lockstep_group.py
@@ -100,6 +100,8 @@
         self.late_share = 0.0
         self.mixed_steps = 0
         self.switched = 0
+        # Times at which a step was due and held.
+        self.held_steps = 0
         self._rng = rng
         self._clock = clock
 
@@ -109,6 +111,7 @@
             await asyncio.sleep(STEP_S)
             following = StepNumber(self.step + 1)
             if any(rank.held == following for rank in self.ranks):
+                self.held_steps += 1
                 continue
             self.step = following
             for rank in self.ranks:
