Wait until a map is in use before the next change

Cause: after unanswered orders the change takes place some steps later, and the coordinator planned the next one meanwhile.

Ruled out: late orders of earlier changes; the ranks that refused were armed with the map of the last change.

Change: a change ends when its holder reports the map in use, 1.5 s later at most, since an idle group makes no steps.

--- a/packages/experts/src/sardineyard/experts/switch.py
+++ b/packages/experts/src/sardineyard/experts/switch.py
@@ -52,6 +52,8 @@
 # takes half a second then, which is the time of eight level steps, and a group that
 # stands still for so long makes every stream late.
 _STEPS_AHEAD_UNANSWERED = 8
+# Time until the step at which the map changes; an idle group makes no steps.
+_REACH_TIMEOUT_S = 1.5
 _HOLD_TRIES = 4
 _RETRY_PAUSE_S = 0.02
 # Time for which one order is repeated before another way on is looked for.
@@ -147,7 +149,11 @@
         if step is None:
             return SwitchResult.NOT_HELD
         with self._timed("arm"):
-            return await self._arm_and_release(version, step, holder, current)
+            result = await self._arm_and_release(version, step, holder, current)
+        if result is SwitchResult.SWITCHED:
+            with self._timed("reach"):
+                await self._wait_in_use(version, holder)
+        return result
 
     async def prepare(
         self, version: MapVersion, layout: Layout, copy_time_s: float = 0.0
@@ -266,6 +272,15 @@
             await asyncio.sleep(_RETRY_PAUSE_S)
         return False
 
+    async def _wait_in_use(self, version: MapVersion, holder: RankIndex) -> None:
+        """Wait until the map is in use; ranks that are armed refuse the next one."""
+        deadline = deadline_after(self._clock, _REACH_TIMEOUT_S)
+        while self._clock.now() < deadline:
+            report = await self._report(holder)
+            if report is not None and report.version >= version:
+                return
+            await asyncio.sleep(_RETRY_PAUSE_S)
+
     async def _hold(self, holder: RankIndex) -> StepNumber | None:
         for attempt in range(_HOLD_TRIES):
             report = await self._report(holder)
--- a/packages/experts/tests/test_switch.py
+++ b/packages/experts/tests/test_switch.py
@@ -178,6 +178,17 @@
     assert held <= 20
 
 
+def test_the_next_change_is_accepted_after_unanswered_orders(world: World) -> None:
+    """Guards against a change that ranks refuse since they are armed for the last."""
+    for seed in range(10):
+        group = world.group(seed)
+        group.late_share = 0.35
+        switch = world.switch(FakePort(group, 1))
+        world.run(group, change(switch, 1, 1))
+        group.late_share = 0.0
+        assert world.run(group, change(switch, 20, 2)) is SwitchResult.SWITCHED
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_change_of_a_killed_coordinator_is_ended(world: World, seed: int) -> None:
     """Guards against a group that stands still after its coordinator died."""
