Keep work away from slow ranks

Ruled out: the expert map alone. With a skew of 1.2 passes still take 400 to 600 ms: the slow rank's own part of a pass is 0.2 s without any stream.

Change: the planner may move a replica without getting another one back. Rebalancers whose runner reports a slowdown of 1.5 or more tell the gateways by datagram; from 2 on, at most a third of a service gets no new requests. A coordinator that knows a greater number itself steps down instead of raising its own.

--- a/packages/catalog/src/sardineyard/catalog/beacons.py
+++ b/packages/catalog/src/sardineyard/catalog/beacons.py
@@ -1,4 +1,4 @@
-"""Datagrams by which gateways tell each other their load and what they know.
+"""Datagrams by which gateways hear each other's load and which upstreams are slow.
 
 A datagram that is lost is made up for by the next one, so no connection is needed, and
 one that went silent cannot hide the news.
@@ -33,7 +33,7 @@
 _MAX_BYTES = 8_192
 
 
-class Beacon(msgspec.Struct, frozen=True, array_like=True):
+class Beacon(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Carry the load of one gateway and the newest versions that it knows."""
 
     address: str
@@ -44,6 +44,15 @@
     in_flight: dict[str, int]
 
 
+class UpstreamSlow(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Tell gateways that the upstream at an address is slow."""
+
+    host: str
+    port: int
+    # Time of its own work over the usual time.
+    slowdown: float
+
+
 class Beacons(asyncio.DatagramProtocol):
     """Own the datagram socket of a gateway."""
 
@@ -69,7 +78,7 @@
         self._subscribers: list[Mailbox[object]] = []
 
     def subscribe(self, mailbox: Mailbox[object]) -> None:
-        """Send the load of the other gateways to a mailbox after each beacon."""
+        """Send the load of the other gateways and slow upstreams to a mailbox."""
         self._subscribers.append(mailbox)
 
     async def run(self) -> None:
@@ -96,13 +105,24 @@
     def datagram_received(self, data: bytes, address: object) -> None:
         """Take in a beacon (called by asyncio)."""
         try:
-            beacon = msgspec.msgpack.decode(data, type=Beacon)
+            message = msgspec.msgpack.decode(data, type=Beacon | UpstreamSlow)
         except msgspec.DecodeError as error:
             _logger.warning(
                 "a datagram is no beacon",
                 extra={"event": "beacon_malformed", "reason": str(error)},
             )
             return
+        if isinstance(message, UpstreamSlow):
+            for subscriber in self._subscribers:
+                subscriber.offer(message)
+        else:
+            self._take(message)
+
+    def error_received(self, error: Exception) -> None:
+        """Ignore that a peer does not listen (called by asyncio)."""
+        _logger.debug("beacon not delivered", extra={"event": "beacon_undelivered"})
+
+    def _take(self, beacon: Beacon) -> None:
         known = self._heard.get(beacon.address)
         if known is not None:
             before = known[1]
@@ -114,10 +134,6 @@
         if beacon.config_version > version or beacon.upstream_revision > revision:
             self._is_behind(beacon.address)
 
-    def error_received(self, error: Exception) -> None:
-        """Ignore that a peer does not listen (called by asyncio)."""
-        _logger.debug("beacon not delivered", extra={"event": "beacon_undelivered"})
-
     def _send(self, number: int, started: float) -> None:
         if self._transport is None:
             return
--- a/packages/experts/src/sardineyard/experts/refine.py
+++ b/packages/experts/src/sardineyard/experts/refine.py
@@ -100,7 +100,8 @@
         best, best_gain = None, 1e-9
         for change in self._candidates(busiest):
             if len(change) <= most_replicas and self._is_loadable(change):
-                gain = self._gain(change) / len(change)
+                loaded = sum(expert != _EMPTY for _, _, expert in change)
+                gain = self._gain(change) / loaded
                 if gain > best_gain:
                     best, best_gain = change, gain
         return best
@@ -136,6 +137,8 @@
         for rank in light:
             yield from self._swaps(busiest, rank)
             yield from self._additions(busiest, rank)
+            if self._limits.slots_per_rank is not None:
+                yield from self._moves(busiest, rank)
         yield from self._removals(busiest)
 
     def _swaps(self, busiest: int, rank: int) -> Iterator[_Change]:
@@ -156,6 +159,15 @@
                 if cold == _EMPTY or len(self._holders[cold]) > 1:
                     yield ((rank, j, hot),)
 
+    def _moves(self, busiest: int, rank: int) -> Iterator[_Change]:
+        """Move a replica to another rank, in place of a spare replica there."""
+        for i, hot in enumerate(self._held[busiest]):
+            if hot == _EMPTY or rank in self._holders[hot]:
+                continue
+            for j, cold in enumerate(self._held[rank]):
+                if cold == _EMPTY or len(self._holders[cold]) > 1:
+                    yield ((busiest, i, _EMPTY), (rank, j, hot))
+
     def _removals(self, busiest: int) -> Iterator[_Change]:
         """Replace a spare replica on the busiest rank by a less loaded expert."""
         shares = {e: self._loads[e] / len(h) for e, h in self._holders.items()}
--- a/packages/forwarding/src/sardineyard/forwarding/health.py
+++ b/packages/forwarding/src/sardineyard/forwarding/health.py
@@ -1,4 +1,4 @@
-"""Ejection of upstreams whose calls fail more often than those of the others."""
+"""Ejection of upstreams that fail more often than the others, or that are slow."""
 
 from __future__ import annotations
 
@@ -26,6 +26,11 @@
 _LONGEST_EJECTION_S = 8.0
 # Most of a service that may be ejected at once.
 _MAX_EJECTED_SHARE = 0.34
+# Slowdown above which an upstream gets no new work. A rank that reads a prompt of 835
+# tokens in 14 ms takes 27 ms then, and all ranks of its group wait for it.
+_SLOW = 2.0
+# Time for which one report of a slowdown holds; they come three times a second.
+_SLOW_S = 1.5
 
 
 _NEVER = Deadline(float("-inf"))
@@ -36,6 +41,11 @@
     failure_rate: float = 0.0
     ejected_until: Deadline = _NEVER
     ejections: int = 0
+    slow_until: Deadline = _NEVER
+
+    def is_available(self, now: float) -> bool:
+        """Return whether new work may be given."""
+        return self.ejected_until <= now and self.slow_until <= now
 
 
 class HealthTable:
@@ -66,14 +76,32 @@
         if certain or is_outlier:
             self._eject(upstream, health, peers)
 
+    def slowed(self, upstream: str, slowdown: float, peers: Sequence[str]) -> None:
+        """Take in how much longer than usual an upstream's work takes."""
+        health = self._health.setdefault(upstream, _Health())
+        now = self._clock.now()
+        if slowdown < _SLOW:
+            return
+        if health.slow_until <= now:
+            if not self._may_lose_one(peers):
+                return
+            _logger.info(
+                "an upstream gets no new work while it is slow",
+                extra={
+                    "event": "upstream_slow",
+                    "upstream": upstream,
+                    "slowdown": round(slowdown, 1),
+                },
+            )
+        health.slow_until = deadline_after(self._clock, _SLOW_S)
+
     def available(self, upstreams: Sequence[str]) -> set[str]:
         """Return the upstreams that are not ejected; all, where none would be left."""
         now = self._clock.now()
         left = {
             upstream
             for upstream in upstreams
-            if upstream not in self._health
-            or self._health[upstream].ejected_until <= now
+            if upstream not in self._health or self._health[upstream].is_available(now)
         }
         return left or set(upstreams)
 
@@ -87,10 +115,12 @@
         health = self._health.get(upstream)
         return health.failure_rate if health else 0.0
 
+    def _may_lose_one(self, peers: Sequence[str]) -> bool:
+        lost = len(peers) - len(self.available(peers))
+        return len(peers) <= 1 or lost + 1 <= max(1, len(peers) * _MAX_EJECTED_SHARE)
+
     def _eject(self, upstream: str, health: _Health, peers: Sequence[str]) -> None:
-        available = self.available(peers)
-        ejected = len(peers) - len(available)
-        if len(peers) > 1 and ejected + 1 > max(1, len(peers) * _MAX_EJECTED_SHARE):
+        if not self._may_lose_one(peers):
             return
         seconds = min(_LONGEST_EJECTION_S, _FIRST_EJECTION_S * 2**health.ejections)
         health.ejections += 1
--- a/packages/forwarding/tests/test_health.py
+++ b/packages/forwarding/tests/test_health.py
@@ -43,3 +43,21 @@
     """Guards against request after request that meets a refused connection."""
     health.failed("u2", UPSTREAMS, certain=True)
     assert "u2" not in health.available(UPSTREAMS)
+
+
+def test_a_slow_upstream_gets_no_work_until_it_is_fast_again(
+    health: HealthTable, clock: ManualClock
+) -> None:
+    """Guards against prompts that are read by a slow rank while all others wait."""
+    health.slowed("u1", 5.0, UPSTREAMS)
+    health.slowed("u2", 1.2, UPSTREAMS)
+    assert health.available(UPSTREAMS) == {"u2", "u3", "u4"}
+    clock.advance(1.6)
+    assert health.available(UPSTREAMS) == set(UPSTREAMS)
+
+
+def test_a_slowdown_that_all_share_leaves_most_upstreams(health: HealthTable) -> None:
+    """Guards against a service without upstreams because all of them are slow."""
+    for upstream in UPSTREAMS:
+        health.slowed(upstream, 5.0, UPSTREAMS)
+    assert len(health.available(UPSTREAMS)) >= 2
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from sardineyard.catalog.beacons import UpstreamSlow
 from sardineyard.catalog.messages import CatalogChanged, PeerLoads
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.budget import RepeatBudget
@@ -105,6 +106,14 @@
         self._budget.share_among(message.processes)
         self._grant_all()
 
+    @_handle.register(UpstreamSlow)
+    def _upstream_slow(self, message: UpstreamSlow) -> None:
+        for entries in self._catalog.upstreams.values():
+            peers = [entry.id for entry in entries]
+            for entry in entries:
+                if (entry.host, entry.port) == (message.host, message.port):
+                    self._health.slowed(entry.id, message.slowdown, peers)
+
     @_handle.register(AskPlace)
     def _ask_place(self, message: AskPlace) -> None:
         self._asked[message.request.ticket] = message
--- a/packages/rebalancer/src/sardineyard/rebalancer/counts.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/counts.py
@@ -1,4 +1,4 @@
-"""Datagrams by which ranks send their counts to the coordinator.
+"""Datagrams by which ranks send counts to the coordinator and warn the gateways.
 
 A reading of all ranks by calls takes a dozen packets a rank; a datagram takes one, and
 a lost one is made up for by the next, as counts only grow.
@@ -12,9 +12,13 @@
 
 import msgspec
 
+from sardineyard.core.address import parse_address
 from sardineyard.experts.group import RankCounts
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.catalog.beacons import UpstreamSlow
     from sardineyard.core.address import Address
     from sardineyard.core.mailbox import Mailbox
 
@@ -36,9 +40,15 @@
 class CountsSocket(asyncio.DatagramProtocol):
     """Own the datagram socket of a rebalancer."""
 
-    def __init__(self, address: Address, receiver: Mailbox[object]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        receiver: Mailbox[object],
+        gateways: Callable[[], list[str]],
+    ) -> None:
         self._address = address
         self._receiver = receiver
+        self._gateways = gateways
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self) -> None:
@@ -64,6 +74,15 @@
         elif self._transport is not None:
             self._transport.sendto(data, (host, self._address.port))
 
+    def tell_gateways(self, message: UpstreamSlow) -> None:
+        """Tell all known gateways that the runner is slow."""
+        if self._transport is None:
+            return
+        data = msgspec.msgpack.encode(message)
+        for gateway in self._gateways():
+            host = parse_address(gateway).host
+            self._transport.sendto(data, (host, self._address.port))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over the transport (called by asyncio)."""
         self._transport = cast("asyncio.DatagramTransport", transport)
--- a/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
@@ -68,9 +68,11 @@
             _PEER_ROUND_S,
         )
         news: Mailbox[object] = Mailbox()
-        self._counts = CountsSocket(settings.group_address, news)
+        self._counts = CountsSocket(
+            settings.group_address, news, lambda: self._exchange.alive
+        )
         runner = open_runner(settings.upstream_address)
-        self._local = LocalRank(runner, clock, self._counts)
+        self._local = LocalRank(runner, settings.upstream_address, clock, self._counts)
         self._coordinator = Coordinator(
             news,
             ServiceName(settings.service),
--- a/packages/rebalancer/src/sardineyard/rebalancer/leadership.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/leadership.py
@@ -77,11 +77,11 @@
 
         A coordinator that lives is heard of through the rebalancers of its ranks.
         """
+        assert self._fence is not None
         self._raises += 1
-        if self._raises > _MOST_RAISES:
+        if self._raises > _MOST_RAISES or self._local.known_fence > self._fence:
             self.step_down(reason)
             return
-        assert self._fence is not None
         previous, rank = self._fence, self._fence % _FENCE_PER_TERM
         self._term = min(_LARGEST_TERM, self._term * 2)
         self._fence = FencingNumber(self._term * _FENCE_PER_TERM + rank)
--- a/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from sardineyard.catalog.beacons import UpstreamSlow
 from sardineyard.core.clock import Deadline, deadline_after
 from sardineyard.core.ids import FencingNumber
 from sardineyard.core.mailbox import Mailbox
@@ -20,6 +21,7 @@
 )
 
 if TYPE_CHECKING:
+    from sardineyard.core.address import Address
     from sardineyard.core.clock import Clock
     from sardineyard.experts.group import GroupRunner, RankReport
     from sardineyard.rebalancer.counts import CountsSocket
@@ -29,6 +31,9 @@
 
 # Pause between two datagrams with counts. What is popular shifts every few seconds.
 PUSH_S = 0.1
+# Slowdown from which gateways are told, and the pause between two datagrams.
+_SLOW = 1.5
+_WARN_S = 0.3
 # Time for which counts are sent after the coordinator asked for them.
 _PUSH_FOR_S = 4.0
 
@@ -37,10 +42,15 @@
     """Read the runner and give it the orders of the newest coordinator."""
 
     def __init__(
-        self, runner: GroupRunner, clock: Clock, counts_socket: CountsSocket
+        self,
+        runner: GroupRunner,
+        address: Address,
+        clock: Clock,
+        counts_socket: CountsSocket,
     ) -> None:
         self.mailbox: Mailbox[object] = Mailbox()
         self._runner = runner
+        self._address = address
         self._clock = clock
         self._known_fence = FencingNumber(0)
         self._heard_at = clock.now()
@@ -49,6 +59,7 @@
         self._counts_to = ""
         self._counts_until = Deadline(0.0)
         self._push_at = Deadline(0.0)
+        self._warn_at = Deadline(0.0)
 
     @property
     def known_fence(self) -> FencingNumber:
@@ -70,6 +81,7 @@
         report = await self._runner.report()
         if report is not None:
             self._report = report
+            self._warn_gateways(report)
         return report
 
     async def run(self) -> None:
@@ -104,6 +116,13 @@
                 self._counts_to,
             )
 
+    def _warn_gateways(self, report: RankReport) -> None:
+        if report.slowdown < _SLOW or self._clock.now() < self._warn_at:
+            return
+        self._warn_at = deadline_after(self._clock, _WARN_S)
+        host, port = self._address.host, self._address.port
+        self._counts_socket.tell_gateways(UpstreamSlow(host, port, report.slowdown))
+
     @singledispatchmethod
     async def _handle(self, message: object) -> None:
         raise TypeError(f"unexpected message {type(message).__name__}")
--- a/packages/standins/src/sardineyard/standins/lockstep_group.py
+++ b/packages/standins/src/sardineyard/standins/lockstep_group.py
@@ -84,6 +84,7 @@
         self.armed: tuple[MapVersion, StepNumber] | None = None
         self.held: StepNumber | None = None
         self.fence = FencingNumber(0)
+        self.slowdown = 1.0
 
 
 class FakeGroup:
@@ -203,6 +204,7 @@
             armed=rank.armed[0] if rank.armed else None,
             armed_step=rank.armed[1] if rank.armed else None,
             held_step=rank.held,
+            slowdown=rank.slowdown,
         )
 
 
