Take the newest entry of an address as the one that listens

Cause: after a power loss the entries of the runners before it stay listed until they lapse, at the addresses that the new runners use.

Change: of several entries with one address only the newest is usable, and one that is listed goes before one that has lapsed. In the tests upstreams no longer share one address.

--- a/packages/catalog/tests/test_keeper.py
+++ b/packages/catalog/tests/test_keeper.py
@@ -30,8 +30,10 @@
 
 def entry(id: str) -> UpstreamEntry:
     """Return the entry of an upstream."""
+    # No two upstreams listen at one address.
+    port = 80 + sum(id.encode())
     return UpstreamEntry(
-        id, SERVICE, "127.0.0.1", 80, FailureDomain("a"), 4, UpstreamPhase.READY
+        id, SERVICE, "127.0.0.1", port, FailureDomain("a"), 4, UpstreamPhase.READY
     )
 
 
--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -77,11 +77,13 @@
     def usable(self, service: ServiceName) -> list[UpstreamEntry]:
         """Return the upstreams of a service that may get new work."""
         self._expire()
+        newest = self._newest_by_address()
         return [
             record.entry
             for record in self._records.values()
             if record.entry.service == service
             and record.listing is not Listing.DRAINING
+            and newest[record.entry.host, record.entry.port] is record
         ]
 
     def replace(self, snapshot: UpstreamSnapshot, *, after_outage: bool) -> None:
@@ -155,6 +157,19 @@
             return
         self._forget(id, revision, "removed")
 
+    def _newest_by_address(self) -> dict[tuple[str, int], UpstreamRecord]:
+        """Return the newest record of each address, which is the one that listens.
+
+        After a power loss the entries of the runners before it are still listed.
+        """
+        newest: dict[tuple[str, int], UpstreamRecord] = {}
+        for record in self._records.values():
+            address = (record.entry.host, record.entry.port)
+            known = newest.get(address)
+            if known is None or _age_key(record) > _age_key(known):
+                newest[address] = record
+        return newest
+
     def _expire(self) -> None:
         now = self._clock.now()
         for id, record in list(self._records.items()):
@@ -170,6 +185,10 @@
             _log_id(id, revision, reason)
 
 
+def _age_key(record: UpstreamRecord) -> tuple[bool, int]:
+    return record.listing is not Listing.LAPSED, record.revision
+
+
 def _log(read: UpstreamRead, outcome: str) -> None:
     _log_id(read.id, read.revision, outcome)
 
--- a/packages/forwarding/tests/conftest.py
+++ b/packages/forwarding/tests/conftest.py
@@ -33,9 +33,6 @@
     step_ms=4.5,
     step_ms_per_sequence=1.8,
     step_ms_per_context_k=0.04,
-    prompt_tokens_per_ms=61.0,
-    prompt_ms_per_million_pairs=0.5,
-    prompt_chunk_tokens=512,
     usual_prompt_tokens=800,
     usual_answer_tokens=100,
 )
@@ -52,11 +49,24 @@
     """Return a function that makes the entry of an upstream."""
 
     def make(
-        id: str, *, domain: str = "a", draining: bool = False, started_ms: int = 1
+        id: str,
+        *,
+        domain: str = "a",
+        draining: bool = False,
+        started_ms: int = 1,
+        port: int | None = None,
     ) -> UpstreamEntry:
         phase = UpstreamPhase.DRAINING if draining else UpstreamPhase.READY
         return UpstreamEntry(
-            id, SERVICE, "127.0.0.1", 80, FailureDomain(domain), 6, phase, started_ms
+            id,
+            SERVICE,
+            "127.0.0.1",
+            # No two upstreams listen at one address.
+            80 + sum(id.encode()) if port is None else port,
+            FailureDomain(domain),
+            6,
+            phase,
+            started_ms,
         )
 
     return make
--- a/packages/forwarding/tests/test_listing.py
+++ b/packages/forwarding/tests/test_listing.py
@@ -96,3 +96,18 @@
     table.merge([make_read("u1", 7)], 7)
     table.replace(UpstreamSnapshot((), 6), after_outage=False)
     assert usable(table) == {"u1"}
+
+
+def test_an_address_belongs_to_the_newest_entry(
+    table: ListingTable, make_read: Callable[..., UpstreamRead]
+) -> None:
+    """Guards against requests for runners of before a power loss, which answer 421."""
+    table.merge([make_read("u1", 1, port=80), make_read("u2", 2, port=81)], 2)
+    table.merge([make_read("u3", 3, port=80)], 3)
+    assert usable(table) == {"u2", "u3"}
+    table.replace(
+        UpstreamSnapshot((make_read("u3", 3, port=80),), 9), after_outage=True
+    )
+    assert usable(table) == {"u2", "u3"}
+    table.merge([UpstreamRead("u3", 10, None)], 10)
+    assert "u3" not in usable(table)
