Move streams away from slow ranks, probe closed groups, drop unused facts

Once open, the group got 67 streams at its first map.

Ruled out: a limit for the slow group. A pass takes 0.25 s and more there with any number of streams, so the limit only refused requests.

Change: gateways ask resumable streams at a slow rank to go on elsewhere, if the budget of repeats allows it. Two ranks that reject close the group for this gateway; waiting requests stay, and one is sent each 0.2 s until one is run. Requests that came back go before others that are late, and are held until just before their callers leave. A group whose passes are too long with any load is filled; before any measurement 0.4 of the slots are used instead of 0.7.

Also removed: token counts, load and retry time of answers and costs of prompts, which were decoded and used by nothing, with their assertions; the second tuple of call errors.

--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -37,7 +37,8 @@
 _RETRY_S = 1.0
 _FORGET_S = 10.0
 _MAX_MEMBERS = 64
-_ERRORS = (
+# Ways in which a call to another process ends without an answer.
+CALL_ERRORS = (
     OSError,
     TimeoutError,
     GRPCError,
@@ -223,7 +224,7 @@
             method = UnaryUnaryMethod(peer.channel, EXCHANGE_METHOD, PeerNews, PeerNews)
             async with asyncio.timeout(_CALL_TIMEOUT_S):
                 answer: PeerNews = await method(news)
-        except _ERRORS as error:
+        except CALL_ERRORS as error:
             # A channel that went silent stays silent, so each failure costs it.
             _close(peer)
             if self._clock.now() - peer.heard_at < self._silent_s:
--- a/packages/forwarding/src/sardineyard/forwarding/config.py
+++ b/packages/forwarding/src/sardineyard/forwarding/config.py
@@ -61,10 +61,6 @@
     step_ms: float
     step_ms_per_sequence: float
     step_ms_per_context_k: float
-    prompt_tokens_per_ms: float
-    prompt_ms_per_million_pairs: float
-    # Most prompt tokens that one step reads.
-    prompt_chunk_tokens: int
     usual_prompt_tokens: float
     usual_answer_tokens: float
     # Expert layout; zero sets where the model has no expert maps.
--- a/packages/forwarding/src/sardineyard/forwarding/messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/messages.py
@@ -22,10 +22,6 @@
     team_key: str = ""
     # Last event of a stream that the caller already has; empty for a new stream.
     last_event_id: str = ""
-    prompt_tokens: int = 0
-    max_answer_tokens: int = 0
-    # Tokens that the caller expects in the answer; right at the median only.
-    expected_answer_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,15 +37,6 @@
     resume_after: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamLoad:
-    """Hold the load that an upstream reports with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """Hold what an upstream says about its answer in the headers."""
@@ -61,8 +48,6 @@
     is_sealed: bool
     is_encoded: bool
     request_id: str = ""
-    load: UpstreamLoad | None = None
-    retry_after_s: float | None = None
     # Upstream that is at fault for a refusal; empty where none is named.
     faulty_upstream: str = ""
 
--- a/packages/forwarding/src/sardineyard/forwarding/passes.py
+++ b/packages/forwarding/src/sardineyard/forwarding/passes.py
@@ -20,10 +20,14 @@
 _MOST_TARGETS = 2.0
 # Pauses older than this say nothing about the passes of now.
 _STALE_S = 1.5
+# Multiple of the allowed pause that a pass with the fewest streams has to take before
+# the limit is given up: a rank that is slowed twelve times, not a shift of popularity.
+_HOPELESS = 1.5
 # Part of the slots that is always used, so that new pauses are measured.
 _LEAST_SHARE = 0.3
-# Share of the slots in use before anything was measured.
-_FIRST_SHARE = 0.7
+# Share of the slots in use before anything was measured: what a group with its first
+# map carries on time.
+_FIRST_SHARE = 0.4
 
 
 class PassModel:
@@ -79,4 +83,9 @@
             return self._slots
         pass_s = _USED_PAUSE * allowed_pause_s / self._factor
         streams = (pass_s - self._empty_s) / self._per_stream_s
-        return min(self._slots, max(self._slots * _LEAST_SHARE, streams))
+        least = self._slots * _LEAST_SHARE
+        slowest_s = self._factor * (self._empty_s + least * self._per_stream_s)
+        if slowest_s > _HOPELESS * allowed_pause_s:
+            # Every stream is late however few there are, so as many as possible run.
+            return self._slots
+        return min(self._slots, max(least, streams))
--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -37,6 +37,8 @@
 # A request is held for a place until this multiple of its target latency. Callers
 # give a stream up at four times the target.
 _HOLD_TARGETS = 2.4
+# The same for a request that came back: its caller does not ask a third time.
+_HOLD_TARGETS_AGAIN = 3.6
 # Part of the time left after which a plain request that waits is refused, so that
 # its caller can come back in time.
 _HOLD_TIME_LEFT = 0.4
@@ -47,6 +49,12 @@
 # newest measurement.
 _USUAL_FIRST_EVENT_S = 0.15
 _FIRST_EVENT_WEIGHT = 0.1
+# Ranks of one group that reject requests before it is taken as closed: a group that
+# is formed anew rejects at every rank, a full rank alone.
+_CLOSED_BY = 2
+# Pause between two requests that are sent to a closed group; it is formed within about
+# a second, and each request may be sent twice only.
+_PROBE_S = 0.2
 # Waiting requests for each place of this process.
 _QUEUE_PER_PLACE = 0.8
 _LEAST_QUEUE = 6
@@ -80,6 +88,11 @@
     # A stream that goes on at another upstream holds a place already.
     is_continuation: bool = False
 
+    @property
+    def came_back(self) -> bool:
+        """Return whether the caller was refused before and is late already."""
+        return self.waited_before_s > self.target_latency_s
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
@@ -115,6 +128,14 @@
     credit: float = 1.0
     # Mean time from a place to the first event, in seconds.
     first_event_s: float = _USUAL_FIRST_EVENT_S
+    # Upstreams that rejected a request since the last one that was run.
+    rejecting: set[str] = field(default_factory=set)
+    probe_at: float = 0.0
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the group of an engine is known to run nothing."""
+        return self.model is not None and len(self.rejecting) >= _CLOSED_BY
 
 
 class PlaceBook:
@@ -190,6 +211,16 @@
         if load is not None:
             load.first_event_s += _FIRST_EVENT_WEIGHT * (seconds - load.first_event_s)
 
+    def rejected(self, service: ServiceName, upstream: str) -> None:
+        """Take in that an upstream rejected a request without running it."""
+        load = self._load(service)
+        load.rejecting.add(upstream)
+        load.probe_at = self._clock.now() + _PROBE_S
+
+    def opened(self, service: ServiceName) -> None:
+        """Take in that an upstream of a service runs a request."""
+        self._load(service).rejecting.clear()
+
     def limit(self, service: ServiceName, upstreams: Sequence[UpstreamEntry]) -> float:
         """Return the requests that the service may run at once."""
         slots = sum(upstream.slots for upstream in upstreams)
@@ -256,12 +287,14 @@
             self._services[service] = load
         return load
 
-    def _rank(self, request: PlaceRequest) -> tuple[bool, bool, int, float]:
+    def _rank(self, request: PlaceRequest) -> tuple[bool, bool, bool, int, float]:
         # Requests that cannot be on time any more come last: served in the order of
-        # their arrival, a queue that is too long makes every request late.
+        # their arrival, a queue that is too long makes every request late. Among them
+        # go first those that came back, as their callers do not come back again.
         return (
             not request.is_continuation,
             self._is_late(request),
+            not request.came_back,
             request.priority,
             request.arrived,
         )
@@ -283,7 +316,9 @@
         queued = 0 if load.model is not None else _QUEUED_AT_UPSTREAM
         if total >= max(1.0, limit * share):
             return None
-        if self._processes > 1 and load.credit < 1.0:
+        if self._processes > 1 and load.credit < 1.0 and not request.is_continuation:
+            return None
+        if load.is_closed and self._clock.now() < load.probe_at:
             return None
         # Upstreams that failed this request before are a last resort.
         others = [u for u in upstreams if u.id not in request.excluded] or upstreams
@@ -308,7 +343,9 @@
     def _take(self, request: PlaceRequest, upstream: str) -> None:
         self._own[upstream] = self._own.get(upstream, 0) + 1
         self._granted[request.ticket] = (request.service, upstream)
-        self._services[request.service].credit -= 1.0
+        load = self._services[request.service]
+        load.credit -= 1.0
+        load.probe_at = self._clock.now() + _PROBE_S
 
     def _refuse(
         self,
@@ -340,6 +377,7 @@
     def _give_up_at(self, request: PlaceRequest) -> float:
         whole = request.deadline - request.arrived
         if request.target_pause_s > 0:
-            hold = request.target_latency_s * _HOLD_TARGETS
+            targets = _HOLD_TARGETS_AGAIN if request.came_back else _HOLD_TARGETS
+            hold = request.target_latency_s * targets
             return request.arrived + min(hold, whole * _HOLD_TIME_LEFT)
         return request.arrived + whole * _HOLD_TIME_LEFT
--- a/packages/gateway/src/sardineyard/gateway/attempts.py
+++ b/packages/gateway/src/sardineyard/gateway/attempts.py
@@ -25,6 +25,8 @@
     # The upstream ran it and answered with a whole failure.
     FAILED = "failed"
     UNKNOWN = "unknown"
+    # The stream was broken off to go on at another upstream, as the budget allows.
+    MOVED = "moved"
 
 
 @unique
@@ -53,6 +55,12 @@
     # Whether a started stream has an event behind which it can go on.
     can_resume: bool = False
 
+    @property
+    def can_move(self) -> bool:
+        """Return whether a started stream may go on at another upstream."""
+        is_resumable = self.is_started and self.is_repeatable
+        return is_resumable and self.sent < self.max_upstreams
+
     @property
     def is_repeatable(self) -> bool:
         """Return whether the request may be run once more."""
@@ -66,6 +74,8 @@
         """Return what follows the outcome of the last call."""
         if outcome is CallOutcome.DELIVERED:
             return Next.END
+        if outcome is CallOutcome.MOVED:
+            return Next.TRY_AGAIN
         if outcome is CallOutcome.NOT_SENT:
             has_left = self.unreachable < _MAX_UNREACHABLE
             return Next.TRY_AGAIN if has_left and self.is_repeatable else Next.END
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -10,6 +10,7 @@
 from sardineyard.forwarding.config import Repetition
 from sardineyard.forwarding.events import EventParser, MalformedStreamError
 from sardineyard.gateway.attempts import CallOutcome
+from sardineyard.gateway.dispatcher import ask_repeat
 from sardineyard.gateway.messages import (
     CallEnded,
     CallResult,
@@ -20,12 +21,14 @@
 from sardineyard.httpio.fields import drop_connection_fields
 
 if TYPE_CHECKING:
+    from sardineyard.core.mailbox import Mailbox
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.config import UpstreamEntry
     from sardineyard.forwarding.events import EventSequence
     from sardineyard.forwarding.messages import AnswerFacts
     from sardineyard.gateway.attempts import Progress
     from sardineyard.gateway.environment import Environment
+    from sardineyard.gateway.messages import MoveStream
     from sardineyard.httpio.acceptor import Answer
     from sardineyard.httpio.call import AnswerHead, CallConnection
     from sardineyard.httpio.fields import HeaderList
@@ -38,9 +41,17 @@
 # A stream that is silent for longer is given up for another upstream. A group whose
 # rank is lost stalls for 1.5 s; callers give a stream up after 2 s.
 _SILENT_STREAM_S = 1.7
+_EVENTS = {
+    CallResult.ANSWERED: "call_answered",
+    CallResult.MOVED: "call_moved",
+}
 _BROKEN = (OSError, BrokenAnswerError, MalformedStreamError)
 
 
+class StreamMovedError(Exception):
+    """Report that the stream is to go on at another upstream."""
+
+
 class CallerGoneError(Exception):
     """Report that the answer cannot be delivered to the caller."""
 
@@ -67,7 +78,9 @@
         progress: Progress,
         events: EventSequence,
         environment: Environment,
+        notices: Mailbox[MoveStream],
     ) -> None:
+        self._notices = notices
         self._upstream = upstream
         self._request = request
         self._answer = answer
@@ -153,6 +166,10 @@
         except TimeoutError:
             connection.close()
             self._ended(CallResult.TIMED_OUT, "the stream is silent")
+        except StreamMovedError as moved:
+            connection.close()
+            self._ended(CallResult.MOVED, str(moved))
+            return CallOutcome.MOVED
         except _BROKEN as error:
             connection.close()
             self._ended(CallResult.BROKEN, repr(error))
@@ -216,11 +233,20 @@
             last_at = now
             self._progress.can_resume = self._events.last is not None
             await self._to_caller(self._answer.write(b"".join(e.raw for e in events)))
+            await self._move_if_asked(parser)
         if parser.has_partial_event:
             raise BrokenAnswerError("the stream ended inside an event")
         await self._start_stream(head)
         await self._to_caller(self._answer.finish())
 
+    async def _move_if_asked(self, parser: EventParser) -> None:
+        notice = self._notices.take()
+        if notice is None or parser.has_partial_event or not self._progress.can_move:
+            return
+        # Asked before the call is given up: without a repeat the stream stays.
+        if await ask_repeat(self._env.dispatcher, self._admitted.service):
+            raise StreamMovedError(notice.reason)
+
     async def _start_stream(self, head: AnswerHead) -> None:
         if self._answer.is_started:
             return
@@ -260,20 +286,14 @@
     def _report(self, outcome: CallOutcome, seconds: float) -> None:
         facts = self._facts
         self._env.dispatcher.offer(
-            CallEnded(
-                self._admitted.service,
-                self._upstream.id,
-                self._result,
-                seconds,
-                facts.load if facts else None,
-            )
+            CallEnded(self._admitted.service, self._upstream.id, self._result)
         )
-        is_good = self._result is CallResult.ANSWERED
+        event = _EVENTS.get(self._result, "call_failed")
         _logger.log(
-            logging.INFO if is_good else logging.WARNING,
+            logging.WARNING if event == "call_failed" else logging.INFO,
             "a call to an upstream ended",
             extra={
-                "event": "call_answered" if is_good else "call_failed",
+                "event": event,
                 "request_id": self._admitted.facts.request_id,
                 "upstream": self._upstream.id,
                 "result": self._result.value,
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -20,6 +20,7 @@
     CallResult,
     DumpGateway,
     FirstEventSeen,
+    MoveStream,
     PauseSeen,
     ReleasePlace,
     RequestArrived,
@@ -71,6 +72,7 @@
         self._budget = RepeatBudget(clock, rules)
         self._catalog = CatalogChanged(None, {}, 0)
         self._asked: dict[TicketId, AskPlace] = {}
+        self._placed: dict[TicketId, tuple[str, Mailbox[MoveStream]]] = {}
         self._processes = 1
 
     def in_flight(self) -> dict[str, int]:
@@ -111,8 +113,11 @@
         for entries in self._catalog.upstreams.values():
             peers = [entry.id for entry in entries]
             for entry in entries:
-                if (entry.host, entry.port) == (message.host, message.port):
-                    self._health.slowed(entry.id, message.slowdown, peers)
+                if (entry.host, entry.port) != (message.host, message.port):
+                    continue
+                self._health.slowed(entry.id, message.slowdown, peers)
+                if entry.id not in self._health.available(peers):
+                    self._move_streams(entry.id)
 
     @_handle.register(AskPlace)
     def _ask_place(self, message: AskPlace) -> None:
@@ -123,6 +128,7 @@
     @_handle.register(ReleasePlace)
     def _release_place(self, message: ReleasePlace) -> None:
         self._asked.pop(message.ticket, None)
+        self._placed.pop(message.ticket, None)
         service = self._book.release(message.ticket)
         if service is not None:
             self._grant(service)
@@ -132,6 +138,9 @@
         self._metrics.call_ended(message.service, message.result.value)
         if message.result is CallResult.ANSWERED:
             self._health.succeeded(message.upstream)
+            self._book.opened(message.service)
+        elif message.result is CallResult.REJECTED:
+            self._book.rejected(message.service, message.upstream)
         elif message.result in _FAILURES:
             peers = [entry.id for entry in self._listed(message.service)]
             certain = message.result in _CERTAIN_FAILURES
@@ -146,6 +155,7 @@
     @_handle.register(FirstEventSeen)
     def _first_event_seen(self, message: FirstEventSeen) -> None:
         self._book.observe_first_event(message.service, message.seconds)
+        self._book.opened(message.service)
 
     @_handle.register(RequestArrived)
     def _request_arrived(self, message: RequestArrived) -> None:
@@ -168,6 +178,12 @@
             )
         )
 
+    def _move_streams(self, upstream: str) -> None:
+        """Ask the streams at a slow rank to leave, as all ranks wait for it."""
+        for placed_at, notices in self._placed.values():
+            if placed_at == upstream:
+                notices.offer(MoveStream("the upstream is slow"))
+
     def _listed(self, service: ServiceName) -> tuple[UpstreamEntry, ...]:
         return self._catalog.upstreams.get(service, ())
 
@@ -184,6 +200,8 @@
     def _grant(self, service: ServiceName) -> None:
         for request, decision in self._book.grant(service, self._usable(service)):
             asked = self._asked.pop(request.ticket)
+            if isinstance(decision, Place):
+                self._placed[request.ticket] = (decision.upstream.id, asked.notices)
             asked.reply.send(decision)
             self._log(asked, decision)
 
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -8,8 +8,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.ids import RequestId, ServiceName
-    from sardineyard.core.mailbox import Reply
-    from sardineyard.forwarding.messages import UpstreamLoad
+    from sardineyard.core.mailbox import Mailbox, Reply
     from sardineyard.forwarding.places import (
         Place,
         PlaceRequest,
@@ -34,10 +33,19 @@
     REJECTED = "rejected"
     # Another upstream has the address.
     MISDIRECTED = "misdirected"
+    # The stream goes on at another upstream.
+    MOVED = "moved"
     # The caller left, which says nothing about the upstream.
     ABANDONED = "abandoned"
 
 
+@dataclass(frozen=True, slots=True)
+class MoveStream:
+    """Ask the owner of a place to go on at another upstream."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class AskPlace:
     """Ask for a place at an upstream."""
@@ -45,6 +53,8 @@
     request_id: RequestId
     request: PlaceRequest
     reply: Reply[Place | Refused]
+    # Gets news about the place while it is held.
+    notices: Mailbox[MoveStream]
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,8 +71,6 @@
     service: ServiceName
     upstream: str
     result: CallResult
-    seconds: float
-    load: UpstreamLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -8,7 +8,7 @@
 
 from sardineyard.core.clock import remaining
 from sardineyard.core.errors import ErrorKind, RequestError
-from sardineyard.core.mailbox import Reply
+from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.events import EventSequence
 from sardineyard.forwarding.messages import ForwardOrders
 from sardineyard.forwarding.places import Place, PlaceRequest, Refusal, TicketId
@@ -24,6 +24,7 @@
     from sardineyard.forwarding.places import Refused
     from sardineyard.gateway.call import StoredFailure
     from sardineyard.gateway.environment import Environment
+    from sardineyard.gateway.messages import MoveStream
     from sardineyard.httpio.acceptor import Answer
     from sardineyard.httpio.request_reader import IncomingRequest
 
@@ -88,11 +89,12 @@
     async def _call_until_answered(self) -> RequestError | None:
         while True:
             ticket = TicketId(next(self._env.tickets))
+            notices: Mailbox[MoveStream] = Mailbox()
             try:
-                decision = await self._ask_place(ticket)
+                decision = await self._ask_place(ticket, notices)
                 if not isinstance(decision, Place):
                     return self._refused(decision)
-                call = self._new_call(decision)
+                call = self._new_call(decision, notices)
                 outcome = await call.run(self._attempt_timeout_s())
             finally:
                 self._env.dispatcher.post(ReleasePlace(ticket))
@@ -123,7 +125,9 @@
         )
         return Next.TRY_AGAIN if allowed else self._progress.otherwise(outcome)
 
-    async def _ask_place(self, ticket: TicketId) -> Place | Refused:
+    async def _ask_place(
+        self, ticket: TicketId, notices: Mailbox[MoveStream]
+    ) -> Place | Refused:
         admitted = self._admitted
         reply: Reply[Place | Refused] = Reply()
         request = PlaceRequest(
@@ -138,7 +142,9 @@
             frozenset(self._tried),
             self._progress.is_started,
         )
-        self._env.dispatcher.post(AskPlace(admitted.facts.request_id, request, reply))
+        self._env.dispatcher.post(
+            AskPlace(admitted.facts.request_id, request, reply, notices)
+        )
         return await reply.wait()
 
     def _refused(self, decision: Refused) -> RequestError:
@@ -147,7 +153,7 @@
         self._retry_after_s = decision.retry_after_s
         return RequestError(_REFUSAL_KINDS[decision.reason])
 
-    def _new_call(self, place: Place) -> UpstreamCall:
+    def _new_call(self, place: Place, notices: Mailbox[MoveStream]) -> UpstreamCall:
         self._tried.add(place.upstream.id)
         admitted = self._admitted
         resumes = self._progress.is_started and self._events.last is not None
@@ -167,6 +173,7 @@
             self._progress,
             self._events,
             self._env,
+            notices,
         )
 
     def _attempt_timeout_s(self) -> float | None:
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -207,6 +207,45 @@
     assert resumed == ["2"]
 
 
+def test_a_stream_leaves_a_slow_upstream(run_world: RunWorld) -> None:
+    """Guards against old streams at a slow rank, for which its whole group waits."""
+    resumed: list[str] = []
+    worlds: list[Any] = []
+
+    async def crawl_or_go_on(peer: Peer) -> None:
+        request = await peer.receive()
+        assert request is not None
+        after = request.header("last-event-id")
+        peer.start_stream(request)
+        if after:
+            resumed.append(after)
+            for number in range(int(after) + 1, 40):
+                peer.event(number)
+            peer.chunk(b"")
+            await peer.writer.drain()
+            return
+        _, port = peer.writer.get_extra_info("sockname")
+        for number in range(1, 40):
+            peer.event(number)
+            await peer.writer.drain()
+            worlds[0].report_slow(port, 6.0)
+            await asyncio.sleep(0.05)
+        raise AssertionError("the stream stayed at the slow upstream")
+
+    async def test(world: Any) -> None:
+        worlds.append(world)
+        # A third of the upstreams may be left out at once.
+        await world.start(crawl_or_go_on, crawl_or_go_on, crawl_or_go_on)
+        client = await world.client()
+        status, _, body = await client.ask("/stream/")
+        assert status == 200
+        numbers = [line for line in body.split(b"\n") if line.startswith(b"id")]
+        assert numbers == [b"id: %d" % number for number in range(1, 40)]
+
+    run_world(test)
+    assert len(resumed) == 1
+
+
 def test_a_broken_stream_does_not_look_complete(run_world: RunWorld) -> None:
     """Guards against a cut answer that a client takes for a whole one."""
 
--- a/packages/rebalancer/src/sardineyard/rebalancer/service.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/service.py
@@ -5,12 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from sardineyard.catalog.peers import NewsCodec
+from sardineyard.catalog.peers import CALL_ERRORS, NewsCodec
 from sardineyard.core.mailbox import Reply
 from sardineyard.rebalancer.messages import (
     GatherAsked,
@@ -31,14 +29,6 @@
 _ORDER = "/sardineyard.rebalancer.Rank/Order"
 # The runner's own time-out is 0.25 s, and one call may wait behind another.
 _CALL_TIMEOUT_S = 0.6
-_ERRORS = (
-    OSError,
-    TimeoutError,
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    msgspec.DecodeError,
-)
 
 
 class RankService:
@@ -103,7 +93,7 @@
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
                 return await method(request)
-        except _ERRORS:
+        except CALL_ERRORS:
             # The caller logs that the rank is not reached; a silent channel stays so.
             self.close()
             return None
