Share the catalog's tasks between the two daemons

Cause: gateway and rebalancer each built keeper, exchange with peers and watches of the store, and repeated their start, reload and dump.

Change: CatalogClient holds them. Behaviour is the same.

--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -11,10 +11,9 @@
 from grpclib.server import Server
 
 from sardineyard.catalog.beacons import Beacons
-from sardineyard.catalog.follower import WatchPace, start_following
-from sardineyard.catalog.keeper import CatalogKeeper
-from sardineyard.catalog.messages import DumpCatalog
-from sardineyard.catalog.peers import NewsCodec, PeerExchange, PeerService
+from sardineyard.catalog.client import CatalogClient
+from sardineyard.catalog.follower import WatchPace
+from sardineyard.catalog.peers import NewsCodec, PeerService
 from sardineyard.core.ids import FailureDomain
 from sardineyard.core.mailbox import Reply
 from sardineyard.core.states import ProcessState
@@ -40,6 +39,7 @@
     from sardineyard.forwarding.config import ForwardingConfig
     from sardineyard.forwarding.messages import MessageCodec
     from sardineyard.forwarding.source import CatalogStore
+    from sardineyard.gateway.state import GatewayDump
     from sardineyard.httpio.exchange import Exchange
     from sardineyard.httpio.messages import HttpRequest
     from sardineyard.settings.gateway import GatewaySettings
@@ -76,14 +76,21 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._store = store
         self._metrics = metrics
-        self._reload_seeds = reload_seeds
         self._state = ProcessState.STARTING
         self._tasks = TaskSet()
         self._rng = Random()
         own_address = str(settings.peer_address)
-        self._keeper = CatalogKeeper(store, clock, own_address)
+        self._catalog = CatalogClient(
+            store,
+            clock,
+            self._rng,
+            own_address,
+            settings.seed_peers,
+            _PEER_ROUND_S,
+            reload_seeds,
+        )
+        self._keeper, self._exchange = self._catalog.keeper, self._catalog.exchange
         self._dispatcher = Dispatcher(
             clock,
             self._rng,
@@ -94,14 +101,6 @@
             metrics,
         )
         self._keeper.subscribe(self._dispatcher.mailbox)
-        self._exchange = PeerExchange(
-            self._keeper.mailbox,
-            own_address,
-            tuple(map(str, settings.seed_peers)),
-            clock,
-            self._rng,
-            _PEER_ROUND_S,
-        )
         self._beacons = Beacons(
             settings.peer_address,
             settings.beacon_address,
@@ -162,15 +161,12 @@
 
     async def start(self) -> None:
         """Start the tasks and listen."""
-        self._tasks.start("catalog", self._keeper.run())
         self._tasks.start("dispatcher", self._dispatcher.run())
         pace = WatchPace(_WATCH_S, _WATCH_PAUSE_S, self._rng)
-        start_following(
-            self._tasks, self._store, self._keeper.mailbox, self._clock, pace
-        )
+        self._catalog.start(self._tasks, pace)
         address = self._settings.peer_address
         await self._peers.start(address.host, address.port)
-        self._tasks.start("peers", self._exchange.run())
+        self._catalog.start_exchange(self._tasks)
         self._tasks.start("beacons", self._beacons.run())
         self._tasks.start("connections", self._drop_old_connections())
         await self._callers.start()
@@ -180,9 +176,7 @@
 
     def reload(self) -> None:
         """Read the settings again; only the seeds may change in a running process."""
-        seeds = self._reload_seeds()
-        if seeds:
-            self._exchange.use_seeds(seeds)
+        self._catalog.reload()
 
     async def drain(self) -> None:
         """Leave the rotation and return when the open requests have ended."""
@@ -228,23 +222,20 @@
             self._connections.drop_old()
 
     async def _dump(self) -> object:
-        catalog: Reply[object] = Reply()
-        gateway: Reply[object] = Reply()
-        self._keeper.mailbox.post(DumpCatalog(catalog))  # type: ignore[arg-type]
-        self._dispatcher.mailbox.post(DumpGateway(gateway))  # type: ignore[arg-type]
+        gateway: Reply[GatewayDump] = Reply()
+        self._dispatcher.mailbox.post(DumpGateway(gateway))
         return {
             "process": self._settings.process,
             "state": self._state.value,
             "peers": self._exchange.alive,
             "open_requests": self._forwarder.open_requests,
-            "catalog": await catalog.wait(),
+            "catalog": await self._catalog.dump(),
             "gateway": await gateway.wait(),
         }
 
     async def _render_metrics(self) -> tuple[dict[str, str], bytes]:
-        config = self._keeper.config
         self._metrics.process_state(self._state)
-        self._metrics.document_in_force(0 if config is None else config.version)
+        self._metrics.document_in_force(self._catalog.version)
         self._metrics.connections("callers", self._callers.open_connections)
         self._metrics.connections("upstreams_idle", self._connections.idle_count)
         return self._metrics.render()
--- a/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/daemon.py
@@ -7,12 +7,11 @@
 
 from grpclib.server import Server
 
-from sardineyard.catalog.follower import WatchPace, start_following
-from sardineyard.catalog.keeper import CatalogKeeper
-from sardineyard.catalog.messages import DumpCatalog
-from sardineyard.catalog.peers import NewsCodec, PeerExchange
+from sardineyard.catalog.client import CatalogClient
+from sardineyard.catalog.follower import WatchPace
+from sardineyard.catalog.peers import NewsCodec
 from sardineyard.core.ids import ServiceName
-from sardineyard.core.mailbox import Mailbox, Reply
+from sardineyard.core.mailbox import Mailbox
 from sardineyard.core.states import ProcessState
 from sardineyard.core.tasks import TaskSet
 from sardineyard.daemon.admin import AdminServer
@@ -51,25 +50,23 @@
         reload_seeds: Callable[[], tuple[str, ...]],
     ) -> None:
         self._settings = settings
-        self._clock = clock
-        self._store = store
         self._metrics = metrics
-        self._reload_seeds = reload_seeds
         self._state = ProcessState.STARTING
         self._tasks = TaskSet()
         self._rng = Random()
-        self._keeper = CatalogKeeper(store, clock, "")
-        self._exchange = PeerExchange(
-            self._keeper.mailbox,
-            "",
-            tuple(map(str, settings.seed_peers)),
+        # Peers do not call a rebalancer, so it has no address among them.
+        self._catalog = CatalogClient(
+            store,
             clock,
             self._rng,
+            "",
+            settings.seed_peers,
             _PEER_ROUND_S,
+            reload_seeds,
         )
         news: Mailbox[object] = Mailbox()
         self._counts = CountsSocket(
-            settings.group_address, news, lambda: self._exchange.alive
+            settings.group_address, news, lambda: self._catalog.exchange.alive
         )
         runner = open_runner(settings.upstream_address)
         self._local = LocalRank(runner, settings.upstream_address, clock, self._counts)
@@ -84,7 +81,7 @@
             self._rng,
             metrics,
         )
-        self._keeper.subscribe(self._coordinator.mailbox)
+        self._catalog.keeper.subscribe(self._coordinator.mailbox)
         self._server = Server([RankService(self._local.mailbox)], codec=NewsCodec())
         self._admin = AdminServer(
             settings.admin_address, self._is_ready, self._dump, self._render_metrics
@@ -92,25 +89,20 @@
 
     async def start(self) -> None:
         """Start the tasks and listen."""
-        self._tasks.start("catalog", self._keeper.run())
         self._tasks.start("local-rank", self._local.run())
         pace = WatchPace(_WATCH_S, _WATCH_PAUSE_S, self._rng)
-        start_following(
-            self._tasks, self._store, self._keeper.mailbox, self._clock, pace
-        )
+        self._catalog.start(self._tasks, pace)
         address = self._settings.group_address
         await self._server.start(address.host, address.port)
         await self._counts.start()
-        self._tasks.start("peers", self._exchange.run())
+        self._catalog.start_exchange(self._tasks)
         self._tasks.start("coordinator", self._coordinator.run())
         await self._admin.start()
         self._state = ProcessState.SERVING
 
     def reload(self) -> None:
         """Read the settings again; only the seeds may change in a running process."""
-        seeds = self._reload_seeds()
-        if seeds:
-            self._exchange.use_seeds(seeds)
+        self._catalog.reload()
 
     async def drain(self) -> None:
         """Return at once: another rebalancer finishes what this one has begun."""
@@ -129,22 +121,20 @@
         await self._tasks.wait_failed()
 
     def _is_ready(self) -> bool:
-        return self._state is ProcessState.SERVING and self._keeper.is_ready
+        is_serving = self._state is ProcessState.SERVING
+        return is_serving and self._catalog.keeper.is_ready
 
     async def _dump(self) -> object:
-        catalog: Reply[object] = Reply()
-        self._keeper.mailbox.post(DumpCatalog(catalog))  # type: ignore[arg-type]
         return {
             "process": self._settings.process,
             "state": self._state.value,
-            "peers": self._exchange.alive,
-            "catalog": await catalog.wait(),
+            "peers": self._catalog.exchange.alive,
+            "catalog": await self._catalog.dump(),
             "group": self._coordinator.dump(),
         }
 
     async def _render_metrics(self) -> tuple[dict[str, str], bytes]:
-        config = self._keeper.config
         self._metrics.process_state(self._state)
-        self._metrics.document_in_force(0 if config is None else config.version)
+        self._metrics.document_in_force(self._catalog.version)
         self._metrics.coordinates(self._coordinator.is_coordinator)
         return self._metrics.render()
