Bound the bytes of counts that a coordinator receives

Cause: each rank sends its counts each 0.1 s whatever the group's size. At 72 ranks, 12 sets and 144 experts that is 29 Mbit/s at a coordinator whose link has 4; the reading of reports after seven rounds would also come later than the four seconds for which ranks send counts.

Change: the coordinator names the pause between two datagrams, so that it receives 160 KB/s at most; reports are read each 0.7 s by the clock.

The bound at the grown size is tested, not run.

--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.catalog.messages import CatalogChanged
+from sardineyard.core.clock import Deadline, deadline_after
 from sardineyard.experts.leveling import level, mean_skew
 from sardineyard.experts.switch import (
     EpochEndedError,
@@ -19,7 +20,6 @@
 from sardineyard.rebalancer.counts import CountsPushed
 from sardineyard.rebalancer.group_view import GroupView
 from sardineyard.rebalancer.leadership import Leadership
-from sardineyard.rebalancer.local_rank import PUSH_S
 from sardineyard.rebalancer.messages import GroupDump
 
 if TYPE_CHECKING:
@@ -39,9 +39,11 @@
 
 _logger = logging.getLogger(__name__)
 
-# Rounds between two readings of all reports by calls, which also tell the ranks that
-# the coordinator lives; counts come by datagrams meanwhile.
-_ROUNDS_PER_REPORT = 7
+# Time between two readings of all reports by calls, which also tell the ranks that the
+# coordinator lives; counts come by datagrams meanwhile.
+_REPORT_S = 0.7
+# Pause between two rounds of a process that does not coordinate.
+_IDLE_ROUND_S = 0.1
 
 
 class Coordinator:
@@ -70,7 +72,7 @@
         self._engine: EngineProfile | None = None
         self._last_version = 0
         self._has_shifted = False
-        self._rounds = 0
+        self._read_at = Deadline(0.0)
         self._skew = 0.0
         self._changes = 0
 
@@ -95,10 +97,15 @@
             while True:
                 self._take_news()
                 await self._round()
-                await asyncio.sleep(PUSH_S)
+                await asyncio.sleep(self._pause_s())
         finally:
             self._view.close()
 
+    def _pause_s(self) -> float:
+        if self._engine is None or not self.is_coordinator:
+            return _IDLE_ROUND_S
+        return min(_REPORT_S, self._view.counts_pause_s(self._engine))
+
     def _take_news(self) -> None:
         while (news := self.mailbox.take()) is not None:
             if isinstance(news, CountsPushed):
@@ -131,12 +138,12 @@
     async def _level_group(self, engine: EngineProfile) -> None:
         fence = self._leadership.fence
         assert fence is not None
-        self._rounds += 1
-        if self._view.layout is None or self._rounds % _ROUNDS_PER_REPORT == 0:
+        if self._view.layout is None or self._clock.now() >= self._read_at:
+            self._read_at = deadline_after(self._clock, _REPORT_S)
             is_readable = await self._view.read(engine, fence)
             if not is_readable or await self._finish_leftover(fence):
                 return
-        await self._view.ask_silent(fence)
+        await self._view.ask_silent(engine, fence)
         self._view.observe_counts()
         if not self._is_settling():
             await self._improve(engine, fence)
--- a/packages/rebalancer/src/sardineyard/rebalancer/counts.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/counts.py
@@ -24,10 +24,24 @@
 
 _logger = logging.getLogger(__name__)
 
+# Pause between two datagrams of a rank. Popularity shifts every few seconds, and each
+# tenth of a second until the shift is seen makes streams late.
+_LEAST_PAUSE_S = 0.1
+# Bytes of counts that a coordinator receives in a second: an eighth of a link of
+# 10 Mbit/s, which also carries the orders and the rest of the VM.
+_BYTES_PER_S = 160_000
+# Bytes of one count in a datagram.
+_BYTES_PER_COUNT = 3.5
 # A datagram over IPv4 holds at most 65,507 bytes; 1,728 counts take about 5 KB.
 _MAX_BYTES = 60_000
 
 
+def counts_pause_s(ranks: int, counts_per_rank: int) -> float:
+    """Return the seconds between two datagrams of each rank of a group."""
+    bytes_per_round = ranks * counts_per_rank * _BYTES_PER_COUNT
+    return max(_LEAST_PAUSE_S, bytes_per_round / _BYTES_PER_S)
+
+
 class CountsPushed(msgspec.Struct, frozen=True):
     """Carry the counts of one rank to the coordinator with a number."""
 
--- a/packages/rebalancer/src/sardineyard/rebalancer/group_view.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/group_view.py
@@ -11,7 +11,7 @@
 from sardineyard.experts.maps import MapVersion
 from sardineyard.experts.popularity import PopularityTracker
 from sardineyard.experts.switch import EpochEndedError
-from sardineyard.rebalancer.counts import CountsPushed
+from sardineyard.rebalancer.counts import CountsPushed, counts_pause_s
 from sardineyard.rebalancer.members import GroupMembers, Member, OwnMember
 from sardineyard.rebalancer.messages import GatherRequest
 
@@ -28,8 +28,9 @@
 
 _logger = logging.getLogger(__name__)
 
-# Age of counts after which a rank is asked for them.
+# Age of counts after which a rank is asked for them, and the same in datagrams.
 _STALE_COUNTS_S = 1.2
+_STALE_DATAGRAMS = 3
 
 _AnyMember = Member | OwnMember
 
@@ -149,7 +150,10 @@
         """
         members = list(self._members.values())
         request = GatherRequest(
-            fence, with_experts=self._layout is None, counts_to=self._own_host
+            fence,
+            with_experts=self._layout is None,
+            counts_to=self._own_host,
+            counts_every_s=self.counts_pause_s(engine),
         )
         replies = await _gather(members, request)
         group = _whole_group(list(zip(members, replies, strict=True)))
@@ -167,10 +171,15 @@
             self.shape(engine), [reply for _, reply in group.values()]
         )
 
-    async def ask_silent(self, fence: FencingNumber) -> None:
+    def counts_pause_s(self, engine: EngineProfile) -> float:
+        """Return the seconds between two datagrams with counts of one rank."""
+        return counts_pause_s(len(self._members), engine.layer_sets * engine.experts)
+
+    async def ask_silent(self, engine: EngineProfile, fence: FencingNumber) -> None:
         """Ask the ranks for their counts whose datagrams do not arrive."""
-        oldest = self._clock.now() - _STALE_COUNTS_S
-        if self._clock.now() - self._epoch_began < _STALE_COUNTS_S:
+        stale_s = max(_STALE_COUNTS_S, _STALE_DATAGRAMS * self.counts_pause_s(engine))
+        oldest = self._clock.now() - stale_s
+        if self._clock.now() - self._epoch_began < stale_s:
             return
         silent = [
             rank
--- a/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
@@ -29,8 +29,6 @@
 
 _logger = logging.getLogger(__name__)
 
-# Pause between two datagrams with counts. What is popular shifts every few seconds.
-PUSH_S = 0.1
 # Slowdown from which gateways are told, and the pause between two datagrams.
 _SLOW = 1.5
 _WARN_S = 0.3
@@ -58,6 +56,7 @@
         self._counts_socket = counts_socket
         self._counts_to = ""
         self._counts_until = Deadline(0.0)
+        self._counts_every_s = 0.0
         self._push_at = Deadline(0.0)
         self._warn_at = Deadline(0.0)
 
@@ -108,7 +107,7 @@
         report = self._report
         if now >= self._counts_until or now < self._push_at or report is None:
             return
-        self._push_at = deadline_after(self._clock, PUSH_S)
+        self._push_at = deadline_after(self._clock, self._counts_every_s)
         counts = await self._runner.counts()
         if counts is not None:
             self._counts_socket.send(
@@ -135,6 +134,7 @@
             return
         if request.counts_to:
             self._counts_to = request.counts_to
+            self._counts_every_s = request.counts_every_s
             self._counts_until = deadline_after(self._clock, _PUSH_FOR_S)
         message.reply.send(
             GatherReply(
--- a/packages/rebalancer/src/sardineyard/rebalancer/messages.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/messages.py
@@ -33,6 +33,8 @@
     # Host of the coordinator, to which the rank sends its counts for some seconds;
     # empty where it shall not.
     counts_to: str = ""
+    # Seconds between two datagrams with counts.
+    counts_every_s: float = 0.1
 
 
 class GatherReply(msgspec.Struct, frozen=True):
--- a/packages/rebalancer/tests/test_local_rank.py
+++ b/packages/rebalancer/tests/test_local_rank.py
@@ -13,7 +13,7 @@
 from sardineyard.core.ids import FencingNumber, RankIndex
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.core.tasks import TaskSet
-from sardineyard.rebalancer.counts import CountsSocket
+from sardineyard.rebalancer.counts import CountsSocket, counts_pause_s
 from sardineyard.rebalancer.local_rank import LocalRank
 from sardineyard.rebalancer.messages import GatherAsked, GatherRequest
 from sardineyard.standins.lockstep_group import FakeGroup, FakeRunner
@@ -68,3 +68,11 @@
         return messages
 
     assert UpstreamSlow(OWN, 80, 5.0) in asyncio.run(play())
+
+
+def test_counts_of_a_large_group_come_less_often() -> None:
+    """Guards against a coordinator whose link the counts of its group fill."""
+    assert counts_pause_s(16, 4 * 64) == 0.1
+    pause_s = counts_pause_s(72, 12 * 144)
+    assert 72 * 12 * 144 * 3 / pause_s < 4e6 / 8 / 2
+    assert pause_s < 4.0
