Add an emulator of a lock-step group and its gateways

The project's own places, limits, popularity estimate and planner decide; passes, popularity and callers are emulated. `--static-map` is the baseline.

Ruled out: a pass whose whole time grows with the skew.

--- a/packages/cli/src/sardineyard/cli/app.py
+++ b/packages/cli/src/sardineyard/cli/app.py
@@ -20,6 +20,7 @@
 from sardineyard.cli.demo import DemoCommand
 from sardineyard.cli.exits import ExitCode
 from sardineyard.cli.explain import ExplainCommand
+from sardineyard.cli.play import PlayCommand
 from sardineyard.cli.state import StateCommand
 
 if TYPE_CHECKING:
@@ -37,6 +38,7 @@
     ConfigShow,
     StateCommand,
     ExplainCommand,
+    PlayCommand,
     DemoCommand,
 )
 
--- /dev/null
+++ b/packages/cli/src/sardineyard/cli/play.py
@@ -0,0 +1,63 @@
+"""Command that plays days on the emulator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import argument, option
+from returns.result import Failure, Success
+
+from sardineyard.cli.base import BaseCommand, read_file
+from sardineyard.cli.exits import ExitCode
+from sardineyard.emulator.days import DayError, read_day
+from sardineyard.emulator.play import Emulation
+from sardineyard.emulator.tables import table_of
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.argument import Argument
+    from cleo.io.inputs.option import Option
+
+
+class PlayCommand(BaseCommand):
+    """Play days in simulated time and print service and skew over time."""
+
+    name = "play"
+    description = "Play days of a lock-step group on the emulator."
+    help = """A day is an INI file; the project has some in <info>examples/days</info>.
+
+  <info>sardineyard play examples/days/calm.ini --seed 3</info>
+
+Places, limits and expert maps are decided by the code of the programs; the group, its
+callers and the time are emulated. The same seed plays the same day.
+"""
+    arguments: ClassVar[list[Argument]] = [
+        argument("days", "Files with days.", multiple=True),
+    ]
+    options: ClassVar[list[Option]] = [
+        option("seed", None, "Seed of the random numbers.", flag=False, default="1"),
+        option("static-map", None, "Keep the first map, as a baseline."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        seed = str(self.option("seed"))
+        if not seed.isdigit():
+            return self.fail(ExitCode.USAGE, [f"--seed: {seed!r} is no number"])
+        for path in self.argument("days"):
+            match read_file(path):
+                case Success(raw):
+                    try:
+                        day = read_day(raw.decode())
+                    except (DayError, UnicodeDecodeError) as error:
+                        faults = str(error).splitlines()
+                        return self.fail(
+                            ExitCode.USAGE, [f"{path}: {fault}" for fault in faults]
+                        )
+                case Failure(reason):
+                    return self.fail(ExitCode.USAGE, [reason])
+            self.show(f"{path}, seed {seed}")
+            levels_map = not self.option("static-map")
+            played = Emulation(day, int(seed), levels_map=levels_map).run()
+            for line in table_of(played):
+                self.show(line)
+        return ExitCode.OK
