Refuse at the entry what can never be served

Cause: a trial from outside found that a model that no document has gave 503 no_upstream, which invites callers to come back; that n = 3 gave one choice; that HEAD of a known resource gave 404; and that the preface of HTTP/2 gave 401.

Change: 404 for an unknown model, 400 for n other than 1 and for the preface, 405 for other methods of /v1/models.

Left from that trial: a body over the limit is answered by a reset before the client can read the 413, and folded lines and bare line feeds are accepted at the entry (the gateway's acceptor refuses them).

--- a/packages/entry/src/sardineyard/entry/completions.py
+++ b/packages/entry/src/sardineyard/entry/completions.py
@@ -10,7 +10,7 @@
 import xxhash
 from returns.result import Failure, Success
 
-from sardineyard.core.errors import RequestError
+from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.ids import Fingerprint, ModelName
 from sardineyard.core.requests import Generation
 from sardineyard.entry.generation_run import Finished, Tokens
@@ -28,6 +28,7 @@
     from sardineyard.core.ids import TeamId
     from sardineyard.entry.admission import Admitted
     from sardineyard.entry.attempts import Attempts
+    from sardineyard.entry.directory import Directory
     from sardineyard.entry.observe import RequestObserver
     from sardineyard.entry.openai import Completion
     from sardineyard.httpio.exchange import Exchange
@@ -51,6 +52,7 @@
         exchange: Exchange,
         observer: RequestObserver,
         admitted: Admitted,
+        directory: Directory,
         kind: type[Completion],
     ) -> RequestError | None:
         """Run one completion; return an error that was not sent yet."""
@@ -59,6 +61,8 @@
                 pass
             case Failure(error):
                 return error
+        if completion.model not in directory.models:
+            return RequestError(ErrorKind.NOT_FOUND, f"no model {completion.model!r}")
         generation = Generation(
             request_id=observer.request_id,
             team=admitted.team.id,
--- a/packages/entry/src/sardineyard/entry/front.py
+++ b/packages/entry/src/sardineyard/entry/front.py
@@ -42,6 +42,8 @@
     "/v1/completions": TextBody,
 }
 _SERVICES = "/services/"
+# Method of the preface with which HTTP/2 clients begin.
+_HTTP2_PREFACE = "PRI"
 
 
 class CallerFront:
@@ -126,6 +128,8 @@
     async def _dispatch(
         self, request: HttpRequest, exchange: Exchange, observer: RequestObserver
     ) -> RequestError | None:
+        if request.method == _HTTP2_PREFACE:
+            return RequestError(ErrorKind.BAD_REQUEST, "use HTTP/1.1")
         directory = self._directory()
         if self._is_draining():
             return _refuse_now(request, ErrorKind.DRAINING)
@@ -144,13 +148,15 @@
             if request.method != "POST":
                 return RequestError(ErrorKind.METHOD_NOT_ALLOWED, "use POST")
             return await self._completions.handle(
-                request, exchange, observer, admitted, _COMPLETIONS[path]
+                request, exchange, observer, admitted, directory, _COMPLETIONS[path]
             )
         if path.startswith(_SERVICES):
             return await self._services.handle(
                 request, exchange, observer, admitted, directory
             )
-        if path == "/v1/models" and request.method == "GET":
+        if path == "/v1/models":
+            if request.method != "GET":
+                return RequestError(ErrorKind.METHOD_NOT_ALLOWED, "use GET")
             await _send_models(exchange, directory)
             observer.completed()
             return None
--- a/packages/entry/src/sardineyard/entry/openai.py
+++ b/packages/entry/src/sardineyard/entry/openai.py
@@ -30,6 +30,8 @@
     messages: tuple[ChatMessage, ...]
     max_tokens: int = DEFAULT_MAX_TOKENS
     stream: bool = False
+    # Choices that are asked for; a generation makes one.
+    n: int = 1
 
     @property
     def prompt(self) -> str:
@@ -44,6 +46,8 @@
     prompt: str
     max_tokens: int = DEFAULT_MAX_TOKENS
     stream: bool = False
+    # Choices that are asked for; a generation makes one.
+    n: int = 1
 
 
 Completion = ChatBody | TextBody
@@ -61,6 +65,8 @@
     if not 0 < completion.max_tokens <= _LONGEST_ANSWER_TOKENS:
         detail = f"max_tokens must be between 1 and {_LONGEST_ANSWER_TOKENS}"
         return Failure(RequestError(ErrorKind.BAD_REQUEST, detail))
+    if completion.n != 1:
+        return Failure(RequestError(ErrorKind.BAD_REQUEST, "n must be 1"))
     return Success(completion)
 
 
