Give orders to ranks a module of their own, keep one copy of shared rules

Change: RankOrders repeats orders and waits for reports, MapSwitch decides. RankReport.newest_version, PopularityTracker.is_settled, leveling.first_layout and CounterDifferences are the one copy of the rest.

--- a/packages/emulator/src/sardineyard/emulator/group.py
+++ b/packages/emulator/src/sardineyard/emulator/group.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from sardineyard.core.ids import ExpertIndex
-from sardineyard.experts.leveling import mean_skew
+from sardineyard.experts.leveling import first_layout, mean_skew
 
 if TYPE_CHECKING:
     from random import Random
@@ -135,12 +134,3 @@
         weights = [1 / (place + 1) ** exponent for place in range(self._group.experts)]
         self._rng.shuffle(weights)
         return [weight / sum(weights) for weight in weights]
-
-
-def first_layout(shape: GroupShape) -> Layout:
-    """Return the layout that deals out the experts in turn."""
-    placement = tuple(
-        tuple(ExpertIndex(e) for e in range(rank, shape.experts, shape.ranks))
-        for rank in range(shape.ranks)
-    )
-    return (placement,) * shape.sets
--- a/packages/emulator/src/sardineyard/emulator/levelling.py
+++ b/packages/emulator/src/sardineyard/emulator/levelling.py
@@ -28,7 +28,6 @@
         self._shape = shape
         self._clock = clock
         self._tracker = PopularityTracker(clock, shape.sets, shape.experts)
-        self._had_shifted = False
         self._planned: Layout | None = None
         self._ready_at = 0.0
         self.copies = 0
@@ -38,9 +37,8 @@
         if self._planned is not None:
             return
         self._tracker.observe(RankIndex(0), 1, list(self._group.counters))
-        has_shifted = self._tracker.update()
-        had_shifted, self._had_shifted = self._had_shifted, has_shifted
-        if not self._tracker.is_known or (has_shifted and not had_shifted):
+        self._tracker.update()
+        if not self._tracker.is_settled:
             return
         group = self._group
         planned = level(self._shape, group.layout, self._tracker.loads, group.speeds)
--- a/packages/experts/src/sardineyard/experts/group.py
+++ b/packages/experts/src/sardineyard/experts/group.py
@@ -39,6 +39,13 @@
     # Time of the rank's own work over the usual time.
     slowdown: float = 1.0
 
+    @property
+    def newest_version(self) -> MapVersion:
+        """Return the greatest version that the rank tells of."""
+        return max(
+            self.version, self.prepared or MapVersion(0), self.armed or MapVersion(0)
+        )
+
 
 class RankCounts(msgspec.Struct, frozen=True, array_like=True):
     """Hold how often the requests of one rank chose each expert, set by set."""
--- a/packages/experts/src/sardineyard/experts/leveling.py
+++ b/packages/experts/src/sardineyard/experts/leveling.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sardineyard.core.ids import ExpertIndex
 from sardineyard.experts.maps import step_skew
 from sardineyard.experts.refine import RefineLimits, Refiner
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from sardineyard.core.ids import ExpertIndex
     from sardineyard.experts.group import Layout
 
 # Skews to which all sets are brought in turn, so that they share the copies of a
@@ -138,6 +138,15 @@
     return [min(shape.spare_places, max(0, most - copies)) for copies in taken]
 
 
+def first_layout(shape: GroupShape) -> Layout:
+    """Return the layout that deals out the experts in turn."""
+    placement = tuple(
+        tuple(ExpertIndex(e) for e in range(rank, shape.experts, shape.ranks))
+        for rank in range(shape.ranks)
+    )
+    return (placement,) * shape.sets
+
+
 def layout_of_ranks(
     shape: GroupShape, experts: Sequence[Sequence[Sequence[ExpertIndex]]]
 ) -> Layout:
--- a/packages/experts/src/sardineyard/experts/load.py
+++ b/packages/experts/src/sardineyard/experts/load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -11,13 +11,41 @@
     from sardineyard.core.ids import Incarnation, UpstreamId
 
 
+Source = TypeVar("Source")
+SourceIncarnation = TypeVar("SourceIncarnation")
+
+
+class CounterDifferences(Generic[Source, SourceIncarnation]):
+    """Turn counters of many sources into what they grew by.
+
+    Counters only grow in one incarnation of a source, so a report that is lost or
+    repeated changes nothing; a new incarnation starts from zero.
+    """
+
+    def __init__(self) -> None:
+        self._seen: dict[Source, tuple[SourceIncarnation, tuple[float, ...]]] = {}
+
+    def take(
+        self,
+        source: Source,
+        incarnation: SourceIncarnation,
+        counters: Sequence[float],
+    ) -> list[float]:
+        """Return the growth since the last report; empty for a first one."""
+        known = self._seen.get(source)
+        self._seen[source] = (incarnation, tuple(counters))
+        if known is None or known[0] != incarnation:
+            return []
+        return [
+            max(0, now - before) for now, before in zip(counters, known[1], strict=True)
+        ]
+
+
 class LoadTracker:
     """Estimate the share of tokens that each expert gets.
 
-    Runners report counters that only grow, so a report that is lost or repeated
-    changes nothing; a new incarnation of a runner starts from zero. Decay never
-    takes the estimate below a least number of tokens, because too few tokens make
-    it so noisy that rebalancing follows the noise.
+    Decay never takes the estimate below a least number of tokens, because too few
+    tokens make it so noisy that rebalancing follows the noise.
     """
 
     def __init__(
@@ -27,7 +55,9 @@
         self._half_life_s = half_life_s
         self._least_tokens = least_tokens
         self._loads = [0.0] * experts
-        self._seen: dict[UpstreamId, tuple[Incarnation, Sequence[float]]] = {}
+        self._counters: CounterDifferences[UpstreamId, Incarnation] = (
+            CounterDifferences()
+        )
         self._decayed_at = clock.now()
 
     @property
@@ -40,12 +70,9 @@
     ) -> None:
         """Take the counters of one runner into account."""
         self._decay()
-        known = self._seen.get(upstream)
-        self._seen[upstream] = (incarnation, tuple(counters))
-        if known is None or known[0] != incarnation:
-            return
-        for expert, (now, before) in enumerate(zip(counters, known[1], strict=True)):
-            self._loads[expert] += max(0.0, now - before)
+        new = self._counters.take(upstream, incarnation, counters)
+        for expert, tokens in enumerate(new):
+            self._loads[expert] += tokens
 
     def _decay(self) -> None:
         now = self._clock.now()
--- a/packages/experts/src/sardineyard/experts/popularity.py
+++ b/packages/experts/src/sardineyard/experts/popularity.py
@@ -5,6 +5,8 @@
 from math import pi, sqrt
 from typing import TYPE_CHECKING
 
+from sardineyard.experts.load import CounterDifferences
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -38,15 +40,26 @@
         self._experts = experts
         self._estimates = [[0.0] * experts for _ in range(sets)]
         self._fresh = [[0.0] * experts for _ in range(sets)]
-        self._seen: dict[RankIndex, tuple[int, Sequence[int]]] = {}
+        self._counters: CounterDifferences[RankIndex, int] = CounterDifferences()
         self._updated_at = clock.now()
         self._shifted = 0.0
+        # Whether the last update, and the one before it, found a shift.
+        self._has_shifted = self._had_shifted = False
 
     @property
     def loads(self) -> tuple[float, ...]:
         """Return the estimated choices of each expert, set by set."""
         return tuple(load for estimate in self._estimates for load in estimate)
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether the estimate shows one popularity alone.
+
+        The ranks report at different moments, so the counts of the update that finds
+        a shift mix two of them; those of the next one were begun after it.
+        """
+        return self.is_known and (not self._has_shifted or self._had_shifted)
+
     @property
     def is_known(self) -> bool:
         """Return whether every set has an estimate."""
@@ -63,14 +76,10 @@
         """Take in the counters of one rank, which only grow in one incarnation."""
         if len(counters) != self._sets * self._experts:
             return
-        known = self._seen.get(rank)
-        self._seen[rank] = (started_ms, counters)
-        if known is None or known[0] != started_ms:
-            return
-        for index, (now, before) in enumerate(zip(counters, known[1], strict=True)):
-            if now > before:
-                part, expert = divmod(index, self._experts)
-                self._fresh[part][expert] += now - before
+        new = self._counters.take(rank, started_ms, counters)
+        for index, choices in enumerate(new):
+            part, expert = divmod(index, self._experts)
+            self._fresh[part][expert] += choices
 
     def update(self) -> bool:
         """Fold the new counts in; return whether popularity has shifted meanwhile."""
@@ -93,6 +102,7 @@
                     keep * old + new for old, new in zip(estimate, fresh, strict=True)
                 ]
             self._fresh[part] = [0.0] * self._experts
+        self._had_shifted, self._has_shifted = self._has_shifted, has_shifted
         return has_shifted
 
 
--- a/packages/experts/tests/test_leveling.py
+++ b/packages/experts/tests/test_leveling.py
@@ -6,8 +6,13 @@
 
 import pytest
 
-from sardineyard.core.ids import ExpertIndex
-from sardineyard.experts.leveling import GroupShape, is_whole, level, mean_skew
+from sardineyard.experts.leveling import (
+    GroupShape,
+    first_layout,
+    is_whole,
+    level,
+    mean_skew,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -20,15 +25,6 @@
 SEEDS = range(6)
 
 
-def first_layout() -> Layout:
-    """Return the layout that deals out the experts in turn."""
-    placement = tuple(
-        tuple(ExpertIndex(e) for e in range(rank, SHAPE.experts, SHAPE.ranks))
-        for rank in range(SHAPE.ranks)
-    )
-    return (placement,) * SHAPE.sets
-
-
 @pytest.fixture
 def loads(rng: Random) -> list[float]:
     """Return a popularity of which few experts take most."""
@@ -57,7 +53,7 @@
 ) -> None:
     """Guard against a group that stays unlevel until the last copy is loaded."""
     rng.seed(seed)
-    layout = first_layout()
+    layout = first_layout(SHAPE)
     planned = level(SHAPE, layout, loads, SPEEDS)
     assert planned is not None
     assert planned.copy_time_s <= 0.25
@@ -70,7 +66,7 @@
 
 def test_repeated_changes_level_the_group_and_end(loads) -> None:
     """Guard against changes that never reach the goal or never stop."""
-    layout, changes = first_layout(), 0
+    layout, changes = first_layout(SHAPE), 0
     while (planned := level(SHAPE, layout, loads, SPEEDS)) and planned.is_worth_it:
         layout = planned.layout
         changes += 1
@@ -82,7 +78,7 @@
 def test_a_slow_rank_gets_less_of_the_load_with_one_change(loads) -> None:
     """Guard against one slow rank that makes the steps of many changes slow."""
     speeds = [1 / 12, *SPEEDS[1:]]
-    layout = first_layout()
+    layout = first_layout(SHAPE)
     before = mean_skew(SHAPE, layout, loads, speeds)
     planned = level(SHAPE, layout, loads, speeds)
     assert planned is not None
--- a/packages/experts/tests/test_switch.py
+++ b/packages/experts/tests/test_switch.py
@@ -10,13 +10,8 @@
 
 from sardineyard.core.ids import FencingNumber, RankIndex
 from sardineyard.experts.maps import MapVersion
-from sardineyard.experts.switch import (
-    EpochEndedError,
-    FencedError,
-    MapSwitch,
-    SwitchResult,
-    next_version,
-)
+from sardineyard.experts.rank_orders import EpochEndedError, FencedError
+from sardineyard.experts.switch import MapSwitch, SwitchResult, next_version
 from sardineyard.standins.lockstep_group import (
     STEP_S,
     FakeGroup,
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -9,14 +9,12 @@
 from sardineyard.catalog.messages import CatalogChanged
 from sardineyard.core.clock import Deadline, deadline_after
 from sardineyard.experts.leveling import level, mean_skew
-from sardineyard.experts.switch import (
+from sardineyard.experts.rank_orders import (
     EpochEndedError,
     FencedError,
-    MapSwitch,
     RefusedFenceError,
-    SwitchResult,
-    next_version,
 )
+from sardineyard.experts.switch import MapSwitch, SwitchResult, next_version
 from sardineyard.rebalancer.counts import CountsPushed
 from sardineyard.rebalancer.group_view import GroupView
 from sardineyard.rebalancer.leadership import Leadership
@@ -33,6 +31,7 @@
     from sardineyard.experts.group import GroupRunner
     from sardineyard.experts.leveling import Leveling
     from sardineyard.experts.maps import MapVersion
+    from sardineyard.experts.popularity import PopularityTracker
     from sardineyard.forwarding.config import EngineProfile
     from sardineyard.rebalancer.local_rank import LocalRank
     from sardineyard.telemetry.rebalancer_metrics import RebalancerMetrics
@@ -71,7 +70,6 @@
         self._view = GroupView(own_host, group_port, local, open_runner, clock)
         self._engine: EngineProfile | None = None
         self._last_version = 0
-        self._has_shifted = False
         self._read_at = Deadline(0.0)
         self._skew = 0.0
         self._changes = 0
@@ -145,8 +143,11 @@
                 return
         await self._view.ask_silent(engine, fence)
         self._view.observe_counts()
-        if not self._is_settling():
-            await self._improve(engine, fence)
+        tracker = self._view.tracker
+        assert tracker is not None
+        self._update_popularity(tracker)
+        if tracker.is_settled:
+            await self._improve(engine, fence, tracker)
 
     def _switch(self, fence: FencingNumber) -> MapSwitch:
         members = self._view.members(fence)
@@ -165,16 +166,8 @@
             self._view.forget_layout()
         return True
 
-    def _is_settling(self) -> bool:
-        """Return whether popularity has just shifted, so that counts mix two of them.
-
-        The ranks report at different moments: only counts that were begun after the
-        shift show the new popularity alone.
-        """
-        tracker = self._view.tracker
-        assert tracker is not None
-        had_shifted, self._has_shifted = self._has_shifted, tracker.update()
-        if self._has_shifted:
+    def _update_popularity(self, tracker: PopularityTracker) -> None:
+        if tracker.update():
             _logger.info(
                 "the popularity of experts has shifted",
                 extra={
@@ -183,11 +176,11 @@
                     "shifted_share": round(tracker.shifted_share, 3),
                 },
             )
-        return not tracker.is_known or (self._has_shifted and not had_shifted)
 
-    async def _improve(self, engine: EngineProfile, fence: FencingNumber) -> None:
-        tracker, layout = self._view.tracker, self._view.layout
-        assert tracker is not None
+    async def _improve(
+        self, engine: EngineProfile, fence: FencingNumber, tracker: PopularityTracker
+    ) -> None:
+        layout = self._view.layout
         assert layout is not None
         shape, speeds = self._view.shape(engine), self._view.speeds
         loads = tracker.loads
@@ -210,10 +203,7 @@
             self._view.forget_layout()
 
     def _next_version(self) -> MapVersion:
-        seen = max(
-            max(report.version, report.prepared or 0, report.armed or 0)
-            for report in self._view.reports.values()
-        )
+        seen = max(report.newest_version for report in self._view.reports.values())
         version = next_version(max(seen, self._last_version), self._rng)
         self._last_version = version
         return version
--- a/packages/rebalancer/src/sardineyard/rebalancer/group_view.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/group_view.py
@@ -10,7 +10,7 @@
 from sardineyard.experts.leveling import GroupShape, is_whole, layout_of_ranks
 from sardineyard.experts.maps import MapVersion
 from sardineyard.experts.popularity import PopularityTracker
-from sardineyard.experts.switch import EpochEndedError
+from sardineyard.experts.rank_orders import EpochEndedError
 from sardineyard.rebalancer.counts import CountsPushed, counts_pause_s
 from sardineyard.rebalancer.members import GroupMembers, Member, OwnMember
 from sardineyard.rebalancer.messages import GatherRequest
--- a/packages/rebalancer/src/sardineyard/rebalancer/members.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/members.py
@@ -9,7 +9,7 @@
 from sardineyard.core.clock import Deadline, deadline_after
 from sardineyard.core.mailbox import Reply
 from sardineyard.experts.group import OrderResult
-from sardineyard.experts.switch import FencedError
+from sardineyard.experts.rank_orders import FencedError
 from sardineyard.rebalancer.messages import (
     GatherAsked,
     GatherReply,
