Split the messages of places from the book, compute usable upstreams once

Found on reading the change: places.py held messages and decisions; the time that a caller is told to stay away stood in two modules; the threshold of a slow upstream in three, one of them lower, so that rebalancers sent datagrams which every gateway dropped; the table of addresses was built once for each service after each message of the catalog; PassModel.factor was read by nothing.

Change: place_messages.py; RETRY_TIME_LEFT and SLOWDOWN_LIMIT are the one copy of each; ListingTable.usable returns all services at once.

--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -25,8 +25,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
-    from sardineyard.core.ids import ServiceName
-    from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
+    from sardineyard.forwarding.config import ForwardingConfig
     from sardineyard.forwarding.source import CatalogStore, ConfigRead
 
 _logger = logging.getLogger(__name__)
@@ -182,14 +181,8 @@
         self._config, self._config_source = read, source
 
     def _publish(self) -> None:
-        by_service: dict[ServiceName, list[UpstreamEntry]] = {}
-        # Expires lapsed entries.
-        for service in {r.entry.service for r in self._table.records.values()}:
-            by_service[service] = self._table.usable(service)
         changed = CatalogChanged(
-            self.config,
-            {service: tuple(entries) for service, entries in by_service.items()},
-            self._table.revision,
+            self.config, self._table.usable(), self._table.revision
         )
         if self._is_same(changed):
             return
--- a/packages/emulator/src/sardineyard/emulator/play.py
+++ b/packages/emulator/src/sardineyard/emulator/play.py
@@ -18,7 +18,9 @@
     UpstreamEntry,
     UpstreamPhase,
 )
-from sardineyard.forwarding.places import Place, PlaceBook, PlaceRequest, TicketId
+from sardineyard.forwarding.health import SLOWDOWN_LIMIT
+from sardineyard.forwarding.place_messages import Place, PlaceRequest, TicketId
+from sardineyard.forwarding.places import PlaceBook
 
 if TYPE_CHECKING:
     from sardineyard.emulator.callers import Request
@@ -28,8 +30,6 @@
 _DOMAIN = FailureDomain("emulated")
 # Gateways look at waiting requests this often.
 _TICK_S = 0.02
-# Slowdown from which gateways leave a rank out, as they do on the platform.
-_SLOW = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +137,7 @@
 
     @property
     def _usable(self) -> list[UpstreamEntry]:
-        is_slow = self._group.speeds[0] <= 1 / _SLOW
+        is_slow = self._group.speeds[0] <= 1 / SLOWDOWN_LIMIT
         return self._entries[1:] if is_slow else self._entries
 
     def _wait_until(self, end: float) -> None:
--- a/packages/forwarding/src/sardineyard/forwarding/health.py
+++ b/packages/forwarding/src/sardineyard/forwarding/health.py
@@ -26,9 +26,9 @@
 _LONGEST_EJECTION_S = 8.0
 # Most of a service that may be ejected at once.
 _MAX_EJECTED_SHARE = 0.34
-# Slowdown above which an upstream gets no new work. A rank that reads a prompt of 835
+# Slowdown from which an upstream gets no new work. A rank that reads a prompt of 835
 # tokens in 14 ms takes 27 ms then, and all ranks of its group wait for it.
-_SLOW = 2.0
+SLOWDOWN_LIMIT = 2.0
 # Time for which one report of a slowdown holds; they come three times a second.
 _SLOW_S = 1.5
 
@@ -78,10 +78,10 @@
 
     def slowed(self, upstream: str, slowdown: float, peers: Sequence[str]) -> None:
         """Take in how much longer than usual an upstream's work takes."""
+        if slowdown < SLOWDOWN_LIMIT:
+            return
         health = self._health.setdefault(upstream, _Health())
         now = self._clock.now()
-        if slowdown < _SLOW:
-            return
         if health.slow_until <= now:
             if not self._may_lose_one(peers):
                 return
--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -74,17 +74,18 @@
         """Return whether entries are used that will run out."""
         return any(r.listing is Listing.LAPSED for r in self._records.values())
 
-    def usable(self, service: ServiceName) -> list[UpstreamEntry]:
-        """Return the upstreams of a service that may get new work."""
+    def usable(self) -> dict[ServiceName, tuple[UpstreamEntry, ...]]:
+        """Return the upstreams that may get new work, by service."""
         self._expire()
         newest = self._newest_by_address()
-        return [
-            record.entry
-            for record in self._records.values()
-            if record.entry.service == service
-            and record.listing is not Listing.DRAINING
-            and newest[record.entry.host, record.entry.port] is record
-        ]
+        by_service: dict[ServiceName, list[UpstreamEntry]] = {}
+        for record in self._records.values():
+            entry = record.entry
+            listed = by_service.setdefault(entry.service, [])
+            is_newest = newest[entry.host, entry.port] is record
+            if is_newest and record.listing is not Listing.DRAINING:
+                listed.append(entry)
+        return {service: tuple(listed) for service, listed in by_service.items()}
 
     def replace(self, snapshot: UpstreamSnapshot, *, after_outage: bool) -> None:
         """Adopt a full list; entries that it lacks are removed or have lapsed."""
--- a/packages/forwarding/src/sardineyard/forwarding/passes.py
+++ b/packages/forwarding/src/sardineyard/forwarding/passes.py
@@ -56,11 +56,6 @@
         """Return the mean pause of late, in seconds; zero before the first one."""
         return self._pause_s
 
-    @property
-    def factor(self) -> float:
-        """Return the passes of late over the published time of a pass."""
-        return self._factor
-
     def observe(
         self, pause_s: float, streams_per_rank: float, target_pause_s: float
     ) -> None:
--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum, unique
-from typing import TYPE_CHECKING, NewType
+from typing import TYPE_CHECKING
 
 from sardineyard.core.clock import remaining
 from sardineyard.forwarding.config import ServiceProfile
 from sardineyard.forwarding.passes import PassModel
+from sardineyard.forwarding.place_messages import (
+    RETRY_TIME_LEFT,
+    Place,
+    Refusal,
+    Refused,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
     from random import Random
 
-    from sardineyard.core.clock import Clock, Deadline
+    from sardineyard.core.clock import Clock
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.config import UpstreamEntry
-
-TicketId = NewType("TicketId", int)
+    from sardineyard.forwarding.place_messages import PlaceRequest, TicketId
 
 # Requests beyond its slots that a plain upstream is given; it queues a few itself.
 _QUEUED_AT_UPSTREAM = 2
@@ -42,8 +46,6 @@
 # Part of the time left after which a plain request that waits is refused, so that
 # its caller can come back in time.
 _HOLD_TIME_LEFT = 0.4
-# Callers wait for at most a third of the time that they have left.
-_RETRY_TIME_LEFT = 0.25
 _LEAST_RETRY_AFTER_S = 0.05
 # Time from a place to the first event before it was measured, and the weight of the
 # newest measurement.
@@ -60,62 +62,6 @@
 _LEAST_QUEUE = 6
 
 
-@unique
-class Refusal(Enum):
-    """Say why a request gets no place."""
-
-    # More urgent work takes all places that will become free in time.
-    OVERLOADED = "overloaded"
-    NO_UPSTREAM = "no_upstream"
-    # The caller or the route waits no longer.
-    OUT_OF_TIME = "out_of_time"
-
-
-@dataclass(frozen=True, slots=True)
-class PlaceRequest:
-    """Ask for a place at an upstream of a service."""
-
-    ticket: TicketId
-    service: ServiceName
-    priority: int
-    arrived: float
-    deadline: Deadline
-    target_latency_s: float
-    target_pause_s: float
-    # Seconds that the caller spent on earlier attempts at the same request.
-    waited_before_s: float = 0.0
-    excluded: frozenset[str] = frozenset()
-    # A stream that goes on at another upstream holds a place already.
-    is_continuation: bool = False
-
-    @property
-    def came_back(self) -> bool:
-        """Return whether the caller was refused before and is late already."""
-        return self.waited_before_s > self.target_latency_s
-
-
-@dataclass(frozen=True, slots=True)
-class Place:
-    """Grant a place; the figures behind it go into the log."""
-
-    upstream: UpstreamEntry
-    # Requests of all processes at the upstream, as far as known.
-    in_flight: int
-    service_in_flight: int
-    service_limit: float
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Refuse a place, with the seconds after which a new request may get one."""
-
-    reason: Refusal
-    retry_after_s: float
-    waiting: int
-    service_in_flight: int
-    service_limit: float
-
-
 @dataclass(slots=True)
 class ServiceLoad:
     """Hold what runs and waits for one service."""
@@ -368,7 +314,7 @@
             return None
         return Refused(
             reason,
-            max(_LEAST_RETRY_AFTER_S, left * _RETRY_TIME_LEFT),
+            max(_LEAST_RETRY_AFTER_S, left * RETRY_TIME_LEFT),
             ahead,
             self._total(upstreams),
             limit,
--- a/packages/forwarding/tests/conftest.py
+++ b/packages/forwarding/tests/conftest.py
@@ -20,7 +20,8 @@
     UpstreamPhase,
     WeightedService,
 )
-from sardineyard.forwarding.places import PlaceBook, PlaceRequest, TicketId
+from sardineyard.forwarding.place_messages import PlaceRequest, TicketId
+from sardineyard.forwarding.places import PlaceBook
 from sardineyard.forwarding.source import UpstreamRead
 
 if TYPE_CHECKING:
--- a/packages/forwarding/tests/test_listing.py
+++ b/packages/forwarding/tests/test_listing.py
@@ -26,7 +26,7 @@
 
 def usable(table: ListingTable) -> set[str]:
     """Return the ids of the upstreams that may get work."""
-    return {entry.id for entry in table.usable(SERVICE)}
+    return {entry.id for entry in table.usable().get(SERVICE, ())}
 
 
 def test_a_draining_upstream_gets_no_new_work(
--- a/packages/forwarding/tests/test_places.py
+++ b/packages/forwarding/tests/test_places.py
@@ -10,14 +10,15 @@
 from sardineyard.core.clock import Deadline
 from sardineyard.core.ids import FailureDomain, ServiceName
 from sardineyard.forwarding.config import EngineProfile, ServiceProfile
-from sardineyard.forwarding.places import Place, PlaceBook, Refusal, Refused, TicketId
+from sardineyard.forwarding.place_messages import Place, Refusal, Refused, TicketId
+from sardineyard.forwarding.places import PlaceBook
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sardineyard.core.clock import ManualClock
     from sardineyard.forwarding.config import UpstreamEntry
-    from sardineyard.forwarding.places import PlaceRequest
+    from sardineyard.forwarding.place_messages import PlaceRequest
 
 SERVICE = ServiceName("desk")
 ENGINE = EngineProfile(6, 4, 4.5, 1.8, 0.04, 800, 100)
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -12,7 +12,8 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.budget import RepeatBudget
 from sardineyard.forwarding.health import HealthTable
-from sardineyard.forwarding.places import Place, PlaceBook
+from sardineyard.forwarding.place_messages import Place
+from sardineyard.forwarding.places import PlaceBook
 from sardineyard.gateway.messages import (
     AskPlace,
     AskRepeat,
@@ -34,7 +35,7 @@
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.budget import BudgetRules
     from sardineyard.forwarding.config import UpstreamEntry
-    from sardineyard.forwarding.places import Refused, TicketId
+    from sardineyard.forwarding.place_messages import Refused, TicketId
     from sardineyard.telemetry.gateway_metrics import GatewayMetrics
 
 _logger = logging.getLogger(__name__)
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -11,7 +11,13 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.events import EventSequence
 from sardineyard.forwarding.messages import ForwardOrders
-from sardineyard.forwarding.places import Place, PlaceRequest, Refusal, TicketId
+from sardineyard.forwarding.place_messages import (
+    RETRY_TIME_LEFT,
+    Place,
+    PlaceRequest,
+    Refusal,
+    TicketId,
+)
 from sardineyard.gateway.attempts import CallOutcome, Next, Progress
 from sardineyard.gateway.call import UpstreamCall
 from sardineyard.gateway.dispatcher import ask_repeat
@@ -21,7 +27,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.forwarding.admission import Admitted
-    from sardineyard.forwarding.places import Refused
+    from sardineyard.forwarding.place_messages import Refused
     from sardineyard.gateway.call import StoredFailure
     from sardineyard.gateway.environment import Environment
     from sardineyard.gateway.messages import MoveStream
@@ -39,9 +45,6 @@
 # target latency, or this part of the time left where that is longer.
 _ATTEMPT_TARGETS = 2.0
 _ATTEMPT_TIME_LEFT = 0.35
-# Part of the time left that a caller may be told to stay away: callers wait for a
-# third at most.
-_RETRY_TIME_LEFT = 0.25
 _LEAST_URGENCY = 9
 
 
@@ -193,7 +196,7 @@
     async def _send_error(self, error: RequestError) -> None:
         retry_after_s = self._retry_after_s
         if retry_after_s is None and not self._progress.may_have_run:
-            retry_after_s = self._left_s * _RETRY_TIME_LEFT
+            retry_after_s = self._left_s * RETRY_TIME_LEFT
         promises = error.answer.retry_after_s is not None
         headers = self._env.codec.refusal_headers(
             self._admitted.facts.request_id, retry_after_s if promises else None
--- a/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/local_rank.py
@@ -12,6 +12,7 @@
 from sardineyard.core.ids import FencingNumber
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.experts.group import OrderResult
+from sardineyard.forwarding.health import SLOWDOWN_LIMIT
 from sardineyard.rebalancer.counts import CountsPushed
 from sardineyard.rebalancer.messages import (
     GatherAsked,
@@ -29,8 +30,7 @@
 
 _logger = logging.getLogger(__name__)
 
-# Slowdown from which gateways are told, and the pause between two datagrams.
-_SLOW = 1.5
+# Pause between two datagrams that tell the gateways of a slow rank.
 _WARN_S = 0.3
 # Time for which counts are sent after the coordinator asked for them.
 _PUSH_FOR_S = 4.0
@@ -116,7 +116,7 @@
             )
 
     def _warn_gateways(self, report: RankReport) -> None:
-        if report.slowdown < _SLOW or self._clock.now() < self._warn_at:
+        if report.slowdown < SLOWDOWN_LIMIT or self._clock.now() < self._warn_at:
             return
         self._warn_at = deadline_after(self._clock, _WARN_S)
         host, port = self._address.host, self._address.port
