--- a/packages/cli/src/sardineyard/cli/daemons.py
+++ b/packages/cli/src/sardineyard/cli/daemons.py
@@ -4,7 +4,7 @@
 
 import os
 import sys
-from typing import TYPE_CHECKING, Any, ClassVar
+from typing import TYPE_CHECKING, Any, ClassVar, Protocol
 
 from cleo.helpers import option
 from returns.result import Failure, Success
@@ -18,8 +18,6 @@
 from sardineyard.settings.processes import read_agent_settings, read_entry_settings
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from cleo.io.inputs.option import Option
     from returns.result import Result
 
@@ -31,6 +29,21 @@
 end of drain_timeout_s, ends it at once."""
 
 
+def _help(name: str) -> str:
+    return f"""Checks the settings and starts the daemon in this process.
+
+  <info>sardineyard {name} --settings examples/{name}.ini --check</info>
+{_DRAIN}
+"""
+
+
+class SettingsReader(Protocol):
+    """Parse the settings of one daemon."""
+
+    def __call__(self, text: str) -> Result[Any, tuple[SettingError, ...]]:
+        """Return the settings, or all errors."""
+
+
 class DaemonCommand(BaseCommand):
     """Check a settings file, then replace this process with the daemon."""
 
@@ -39,6 +52,7 @@
         option("check", "c", "Only check the settings and print the result."),
     ]
     module: ClassVar[str]
+    reader: ClassVar[SettingsReader]
     # Program of the module, where it has several.
     program: ClassVar[str] = ""
 
@@ -69,16 +83,12 @@
         sys.stderr.flush()
         os.execv(command[0], command)
 
-    def read_settings(self, text: str) -> Result[Any, tuple[SettingError, ...]]:
-        """Parse the settings of this daemon."""
-        raise NotImplementedError
-
     def _errors(self, path: str) -> list[object]:
         match read_file(path):
             case Failure(reason):
                 return [reason]
             case Success(raw):
-                return _setting_errors(raw, self.read_settings)
+                return _setting_errors(raw, self.reader)
         raise AssertionError("a result is a success or a failure")
 
 
@@ -87,16 +97,9 @@
 
     name = "entry"
     description = "Start an entry: the HTTP server for callers."
-    help = f"""Checks the settings and starts the daemon in this process.
-
-  <info>sardineyard entry --settings examples/entry.ini --check</info>
-{_DRAIN}
-"""
+    help = _help("entry")
     module = "sardineyard.entry"
-
-    def read_settings(self, text: str) -> Result[Any, tuple[SettingError, ...]]:
-        """Parse the settings of an entry."""
-        return read_entry_settings(text)
+    reader = staticmethod(read_entry_settings)
 
 
 class AgentCommand(DaemonCommand):
@@ -104,16 +107,9 @@
 
     name = "agent"
     description = "Start an agent: the only path to the upstream beside it."
-    help = f"""Checks the settings and starts the daemon in this process.
-
-  <info>sardineyard agent --settings examples/agent.ini --check</info>
-{_DRAIN}
-"""
+    help = _help("agent")
     module = "sardineyard.agent"
-
-    def read_settings(self, text: str) -> Result[Any, tuple[SettingError, ...]]:
-        """Parse the settings of an agent."""
-        return read_agent_settings(text)
+    reader = staticmethod(read_agent_settings)
 
 
 class GatewayCommand(DaemonCommand):
@@ -121,17 +117,10 @@
 
     name = "gateway"
     description = "Start a gateway: it forwards callers' requests to upstreams."
-    help = f"""Checks the settings and starts the daemon in this process.
-
-  <info>sardineyard gateway --settings examples/gateway.ini --check</info>
-{_DRAIN}
-"""
+    help = _help("gateway")
     module = "sardineyard.platform"
     program = "gateway"
-
-    def read_settings(self, text: str) -> Result[Any, tuple[SettingError, ...]]:
-        """Parse the settings of a gateway."""
-        return read_gateway_settings(text)
+    reader = staticmethod(read_gateway_settings)
 
 
 class RebalancerCommand(DaemonCommand):
@@ -139,22 +128,13 @@
 
     name = "rebalancer"
     description = "Start a rebalancer beside a model runner of a group."
-    help = f"""Checks the settings and starts the daemon in this process.
-
-  <info>sardineyard rebalancer --settings examples/rebalancer.ini --check</info>
-{_DRAIN}
-"""
+    help = _help("rebalancer")
     module = "sardineyard.platform"
     program = "rebalancer"
-
-    def read_settings(self, text: str) -> Result[Any, tuple[SettingError, ...]]:
-        """Parse the settings of a rebalancer."""
-        return read_rebalancer_settings(text)
+    reader = staticmethod(read_rebalancer_settings)
 
 
-def _setting_errors(
-    raw: bytes, parse: Callable[[str], Result[Any, tuple[SettingError, ...]]]
-) -> list[object]:
+def _setting_errors(raw: bytes, parse: SettingsReader) -> list[object]:
     try:
         text = raw.decode()
     except UnicodeDecodeError as error:
