Log the age of counts and the time of planning behind a map change

Gateways did not say whether a request that got a place could still be on time, so a queue that makes all requests late looked like long passes.

Change: map_change carries counts_age_ms, plan_ms and moved_share; place_granted and place_refused carry is_late. No decision is changed.

--- a/packages/forwarding/src/sardineyard/forwarding/place_messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/place_messages.py
@@ -61,6 +61,8 @@
     in_flight: int
     service_in_flight: int
     service_limit: float
+    # Whether the answer could not be on time any more when this was decided.
+    is_late: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,3 +74,5 @@
     waiting: int
     service_in_flight: int
     service_limit: float
+    # Whether the answer could not be on time any more when this was decided.
+    is_late: bool
--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -273,7 +273,8 @@
             return None
         drawn = self._rng.sample(free, min(len(free), _DRAWN_UPSTREAMS))
         best = min(drawn, key=self._cost)
-        return Place(best, self.in_flight(best.id), total, limit)
+        is_late = self._is_late(request)
+        return Place(best, self.in_flight(best.id), total, limit, is_late)
 
     def _total(self, upstreams: Sequence[UpstreamEntry]) -> int:
         return sum(self.in_flight(upstream.id) for upstream in upstreams)
@@ -318,6 +319,7 @@
             ahead,
             self._total(upstreams),
             limit,
+            self._is_late(request),
         )
 
     def _give_up_at(self, request: PlaceRequest) -> float:
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -214,6 +214,7 @@
             "service": request.service,
             "priority": request.priority,
             "waited_ms": round(waited_s * 1000, 1),
+            "is_late": decision.is_late,
             "service_in_flight": decision.service_in_flight,
             "service_limit": round(decision.service_limit, 1),
             "upstream_revision": self._catalog.revision,
--- a/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/coordinator.py
@@ -21,7 +21,7 @@
 from sardineyard.rebalancer.messages import GroupDump
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
     from random import Random
 
     from sardineyard.core.address import Address
@@ -186,15 +186,21 @@
         loads = tracker.loads
         self._skew = mean_skew(shape, layout, loads, speeds)
         self._metrics.skew(self._skew)
+        counts_age_s, began = self._view.counts_age_s, self._clock.now()
         planned = level(shape, layout, loads, speeds)
         if planned is None or not planned.is_worth_it:
             return
+        inputs = {
+            "counts_age_ms": round(counts_age_s * 1000),
+            "plan_ms": round((self._clock.now() - began) * 1000),
+            "moved_share": round(tracker.shifted_share, 3),
+        }
         version = self._next_version()
         switch = self._switch(fence)
         result = await switch.change(
             version, planned.layout, layout, self._view.own_rank, planned.copy_time_s
         )
-        self._log_change(result, planned, switch)
+        self._log_change(result, planned, switch, inputs)
         if result is SwitchResult.SWITCHED:
             self._view.use_layout(planned.layout, version)
             self._changes += 1
@@ -220,7 +226,11 @@
         self._view.forget_layout()
 
     def _log_change(
-        self, result: SwitchResult, planned: Leveling | None, switch: MapSwitch
+        self,
+        result: SwitchResult,
+        planned: Leveling | None,
+        switch: MapSwitch,
+        inputs: Mapping[str, float] | None = None,
     ) -> None:
         self._metrics.map_change(result.value)
         slowdowns = [report.slowdown for report in self._view.reports.values()]
@@ -240,5 +250,6 @@
                     for phase, seconds in switch.durations_s.items()
                 },
                 "unanswered": switch.unanswered,
+                **(inputs or {}),
             },
         )
--- a/packages/rebalancer/src/sardineyard/rebalancer/group_view.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/group_view.py
@@ -82,6 +82,13 @@
         """Return the popularity estimate of this epoch."""
         return self._tracker
 
+    @property
+    def counts_age_s(self) -> float:
+        """Return the mean age of the last counts of each rank, in seconds."""
+        now = self._clock.now()
+        ages = [now - heard_at for heard_at, _ in self._pushed.values()]
+        return sum(ages) / len(ages) if ages else 0.0
+
     @property
     def own_rank(self) -> RankIndex:
         """Return the rank beside this process."""
