Measure the first event of an emulated stream from its place on

The emulator told the places of a gateway the time from the request's arrival to its first event, with the wait for a place in it; the gateway measures from the call on. Emulated gateways took every request as late once requests waited.

--- a/packages/emulator/src/sardineyard/emulator/group.py
+++ b/packages/emulator/src/sardineyard/emulator/group.py
@@ -25,6 +25,7 @@
     rank: RankIndex
     prompt_tokens: float
     events_left: int
+    placed_at: float
     # A stream takes part from the pass that begins after it was placed.
     has_joined: bool = False
     first_at: float | None = None
