Bound what an upstream can send without end

Cause, read in the code and then shown by tests: a body was bounded at 16 MB a call, but not over all calls; any number of interim answers was read; each piece restarted the timer of a silent stream, so an event without an end kept it open; the body of a rejection was read to its end before the rejection counted; an event was bounded at 1 MB, and searched from its start with each piece.

Ruled out: heads without an end, which h11 bounds at 16 KB; bytes on idle connections, which are not read beyond 64 KB.

Change: bodies beyond 64 KB share 32 MB of a gateway; at most eight interim answers; only whole events, or the first bytes of one, restart the timer of a stream; the body of an answer that is not passed on has 0.1 s and 64 KB; an event has 64 KB.

Heads and single bodies without an end were bounded before.

--- a/packages/forwarding/src/sardineyard/forwarding/events.py
+++ b/packages/forwarding/src/sardineyard/forwarding/events.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-# An event that is larger than this is no event of a model.
-_MAX_EVENT_BYTES = 1_048_576
+_END_BYTES = 4
+# An event holds a few tokens, some hundred bytes. 500 streams whose events do not end
+# take 32 MB of a gateway then.
+_MAX_EVENT_BYTES = 65_536
 
 
 class MalformedStreamError(Exception):
@@ -36,16 +38,18 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that are now whole; raise MalformedStreamError."""
+        # An end may begin in the bytes that were searched before.
+        searched = max(0, len(self._buffer) - _END_BYTES + 1)
         self._buffer += data
         events = []
         start = 0
-        for end in _END.finditer(self._buffer):
+        for end in _END.finditer(self._buffer, searched):
             raw = self._buffer[start : end.end()]
             start = end.end()
             events.append(StreamEvent(raw, _number(raw)))
         self._buffer = self._buffer[start:]
         if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise MalformedStreamError("an event has more than a megabyte")
+            raise MalformedStreamError(f"an event has over {_MAX_EVENT_BYTES} bytes")
         return events
 
 
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sardineyard.core.clock import deadline_after, remaining
 from sardineyard.forwarding.config import Repetition
 from sardineyard.forwarding.events import EventParser, MalformedStreamError
 from sardineyard.gateway.attempts import CallOutcome
@@ -21,6 +22,7 @@
 from sardineyard.httpio.fields import drop_connection_fields
 
 if TYPE_CHECKING:
+    from sardineyard.core.clock import Deadline
     from sardineyard.core.mailbox import Mailbox
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.config import UpstreamEntry
@@ -41,6 +43,9 @@
 # A stream that is silent for longer is given up for another upstream. A group whose
 # rank is lost stalls for 1.5 s; callers give a stream up after 2 s.
 _SILENT_STREAM_S = 1.7
+# Bytes and time for the body of an answer that is not passed on; its head says enough.
+_MAX_SKIPPED_BYTES = 65_536
+_SKIP_TIMEOUT_S = 0.1
 _EVENTS = {
     CallResult.ANSWERED: "call_answered",
     CallResult.MOVED: "call_moved",
@@ -184,7 +189,7 @@
             facts = self._env.codec.read_answer(head.status, head.headers)
             if facts.request_id in (expected, ""):
                 return head, facts
-            await connection.receive_body()
+            await connection.receive_body(_MAX_SKIPPED_BYTES)
             connection.expect_another_answer()
         raise BrokenAnswerError("only answers of other requests")
 
@@ -216,12 +221,15 @@
     async def _pass_stream(self, connection: CallConnection, head: AnswerHead) -> None:
         parser = EventParser()
         last_at = None
+        # Whole events, and the first bytes of one, are progress; more bytes are not.
+        silent_at: Deadline | None = None
         while True:
-            silence_s = _SILENT_STREAM_S if last_at is not None else None
-            async with asyncio.timeout(silence_s):
+            async with asyncio.timeout(self._left_s(silent_at)):
                 piece = await connection.receive_piece()
             if piece is None:
                 break
+            if silent_at is None:
+                silent_at = deadline_after(self._clock, _SILENT_STREAM_S)
             events = [e for e in parser.feed(piece) if self._events.accept(e)]
             if not events:
                 continue
@@ -231,6 +239,7 @@
             else:
                 self._pause(now - last_at)
             last_at = now
+            silent_at = deadline_after(self._clock, _SILENT_STREAM_S)
             self._progress.can_resume = self._events.last is not None
             await self._to_caller(self._answer.write(b"".join(e.raw for e in events)))
             await self._move_if_asked(parser)
@@ -239,6 +248,9 @@
         await self._start_stream(head)
         await self._to_caller(self._answer.finish())
 
+    def _left_s(self, until: Deadline | None) -> float | None:
+        return None if until is None else remaining(self._clock, until)
+
     async def _move_if_asked(self, parser: EventParser) -> None:
         notice = self._notices.take()
         if notice is None or parser.has_partial_event or not self._progress.can_move:
@@ -275,8 +287,9 @@
 
     async def _skip_body(self, connection: CallConnection) -> None:
         try:
-            await connection.receive_body()
-        except _BROKEN:
+            async with asyncio.timeout(_SKIP_TIMEOUT_S):
+                await connection.receive_body(_MAX_SKIPPED_BYTES)
+        except (*_BROKEN, TimeoutError):
             # The head alone carries the promise; the connection is of no more use.
             connection.close()
 
--- a/packages/gateway/src/sardineyard/gateway/connections.py
+++ b/packages/gateway/src/sardineyard/gateway/connections.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.core.address import Address
+from sardineyard.httpio.buffers import BufferBudget
 from sardineyard.httpio.call import CallConnection
 
 if TYPE_CHECKING:
@@ -16,6 +17,9 @@
 # Part of the stated idle timeout that is used: the upstream may close earlier.
 _USED_IDLE = 0.6
 _MAX_IDLE_PER_UPSTREAM = 8
+# Memory for the large bodies of all calls: a fifth of the smallest gateway's 152 MB,
+# as each body is copied once on its way.
+_MAX_BUFFERED_BYTES = 32 * 2**20
 
 
 class UpstreamConnections:
@@ -25,6 +29,7 @@
         self._clock = clock
         self._idle: dict[tuple[str, int], list[tuple[float, CallConnection]]] = {}
         self._is_closing = False
+        self._budget = BufferBudget(_MAX_BUFFERED_BYTES)
 
     @property
     def idle_count(self) -> int:
@@ -44,11 +49,12 @@
     async def open(self, upstream: UpstreamEntry, timeout_s: float) -> CallConnection:
         """Open a connection; raise OSError or TimeoutError."""
         return await CallConnection.open(
-            Address(upstream.host, upstream.port), timeout_s
+            Address(upstream.host, upstream.port), timeout_s, self._budget
         )
 
     def give_back(self, upstream: UpstreamEntry, connection: CallConnection) -> None:
         """Keep a connection for later, or close it."""
+        connection.release_buffers()
         idle = self._idle.setdefault(_key(upstream), [])
         stated = connection.keep_alive_s
         seconds = _USUAL_IDLE_S if stated is None else stated * _USED_IDLE
--- a/packages/httpio/src/sardineyard/httpio/call.py
+++ b/packages/httpio/src/sardineyard/httpio/call.py
@@ -12,12 +12,18 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.address import Address
+    from sardineyard.httpio.buffers import BufferBudget
     from sardineyard.httpio.fields import HeaderList
     from sardineyard.httpio.link import SocketLink
 
 # Connecting within a region takes 2 ms; one lost packet delays it by a second.
 CONNECT_TIMEOUT_S = 1.2
 _MAX_BODY_BYTES = 2**24
+# Bytes of each body that are not counted against the budget of the process, so that
+# endless bodies at one server leave the usual answers alone.
+_FREE_BODY_BYTES = 65_536
+# Answers that only announce another one (100, 103); servers send one or two.
+_MAX_INTERIM_ANSWERS = 8
 
 
 class BrokenAnswerError(Exception):
@@ -35,8 +41,12 @@
 class CallConnection:
     """Own one socket to a server and run one exchange at a time on it."""
 
-    def __init__(self, link: SocketLink, host: bytes) -> None:
+    def __init__(
+        self, link: SocketLink, host: bytes, budget: BufferBudget | None = None
+    ) -> None:
         self._link = link
+        self._budget = budget
+        self._counted_bytes = 0
         self._host = host
         self._http = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
@@ -46,10 +56,17 @@
 
     @classmethod
     async def open(
-        cls, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
+        cls,
+        address: Address,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        budget: BufferBudget | None = None,
     ) -> CallConnection:
-        """Connect to an address; raise OSError or TimeoutError."""
-        return cls(await connect(address, timeout_s), str(address).encode())
+        """Connect to an address; raise OSError or TimeoutError.
+
+        Bodies count against the budget until the next exchange or the end.
+        """
+        link = await connect(address, timeout_s)
+        return cls(link, str(address).encode(), budget)
 
     @property
     def keep_alive_s(self) -> float | None:
@@ -78,6 +95,7 @@
         """Write a whole request; raise OSError."""
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
+        self.release_buffers()
         fields = list(headers)
         if not find(headers, b"host"):
             fields.insert(0, (b"host", self._host))
@@ -90,13 +108,14 @@
 
     async def receive_head(self) -> AnswerHead:
         """Wait for the head of the answer; raise OSError or BrokenAnswerError."""
-        while True:
+        for _ in range(_MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._keep_alive_s = keep_alive_timeout_s(list(event.headers))
                 return AnswerHead(event.status_code, list(event.headers.raw_items()))
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("no head of an answer")
+        raise BrokenAnswerError(f"more than {_MAX_INTERIM_ANSWERS} interim answers")
 
     async def receive_piece(self) -> bytes | None:
         """Return the next piece of the body, or None behind the last one."""
@@ -114,8 +133,15 @@
             body += piece
             if len(body) > max_bytes:
                 raise BrokenAnswerError(f"the body has more than {max_bytes} bytes")
+            self._count(len(body) - _FREE_BODY_BYTES)
         return bytes(body)
 
+    def release_buffers(self) -> None:
+        """Stop counting the last body against the budget."""
+        if self._budget is not None:
+            self._budget.give_back(self._counted_bytes)
+        self._counted_bytes = 0
+
     def expect_another_answer(self) -> None:
         """Read on for the answer of this request, behind one of an earlier request."""
         assert self._request is not None
@@ -128,8 +154,18 @@
 
     def close(self) -> None:
         """Close the socket; a server that is still at work sees it at once."""
+        self.release_buffers()
         self._link.abort()
 
+    def _count(self, size: int) -> None:
+        """Count the bytes of a body; raise BrokenAnswerError where none are left."""
+        more = size - self._counted_bytes
+        if self._budget is None or more <= 0:
+            return
+        if not self._budget.take(more):
+            raise BrokenAnswerError("no memory is left for the body")
+        self._counted_bytes += more
+
     def _encode(self) -> bytes:
         assert self._request is not None
         data = self._http.send(self._request) or b""
@@ -158,8 +194,9 @@
 class CallClient:
     """Make calls to one server over one kept connection."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, max_body_bytes: int = _MAX_BODY_BYTES) -> None:
         self._address = address
+        self._max_body_bytes = max_body_bytes
         self._connection: CallConnection | None = None
 
     async def call(
@@ -178,7 +215,7 @@
         try:
             connection.send(method.encode(), target.encode(), headers, body)
             head = await connection.receive_head()
-            answer = await connection.receive_body()
+            answer = await connection.receive_body(self._max_body_bytes)
         except BaseException:
             connection.close()
             raise
