Use the passes that other gateways measured

Cause: a gateway without measured pauses takes 0.4 of the slots as the limit, 144 of 360. While the others run 220 streams it gives no place, so it has no stream, so it measures nothing: it stays out for as long as the load lasts. The same holds for a gateway that has no stream for 1.5 s.

Change: beacons carry the factor of measured over published passes; a gateway without measurements of its own uses the median of the others.

Test: test_a_gateway_without_streams_uses_the_passes_of_the_others; on the code before, the factor cannot be told, and the first half of the test is what happened.

--- a/packages/catalog/src/sardineyard/catalog/beacons.py
+++ b/packages/catalog/src/sardineyard/catalog/beacons.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from statistics import median
 from typing import TYPE_CHECKING, cast
 
 import msgspec
@@ -42,6 +43,8 @@
     config_version: int
     upstream_revision: int
     in_flight: dict[str, int]
+    # Factors of measured over published passes, by service, as far as measured.
+    pass_factors: dict[str, float] = {}
 
 
 class UpstreamSlow(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -63,6 +66,7 @@
         clock: Clock,
         peers: Callable[[], list[str]],
         in_flight: Callable[[], dict[str, int]],
+        pass_factors: Callable[[], dict[str, float]],
         versions: Callable[[], tuple[int, int]],
         is_behind: Callable[[str], None],
     ) -> None:
@@ -71,6 +75,7 @@
         self._clock = clock
         self._peers = peers
         self._in_flight = in_flight
+        self._pass_factors = pass_factors
         self._versions = versions
         self._is_behind = is_behind
         self._transport: asyncio.DatagramTransport | None = None
@@ -146,6 +151,7 @@
                 version,
                 revision,
                 self._in_flight(),
+                self._pass_factors(),
             )
         )
         if len(data) > _MAX_BYTES:
@@ -161,6 +167,7 @@
     def _publish(self) -> None:
         oldest = self._clock.now() - _STALE_S
         totals: dict[str, int] = {}
+        factors: dict[str, list[float]] = {}
         processes = 1
         for address, (heard_at, beacon) in list(self._heard.items()):
             if heard_at < oldest:
@@ -169,5 +176,8 @@
             processes += 1
             for upstream, count in beacon.in_flight.items():
                 totals[upstream] = totals.get(upstream, 0) + count
+            for service, factor in beacon.pass_factors.items():
+                factors.setdefault(service, []).append(factor)
+        medians = {service: median(values) for service, values in factors.items()}
         for subscriber in self._subscribers:
-            subscriber.offer(PeerLoads(totals, processes))
+            subscriber.offer(PeerLoads(totals, processes, medians))
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -98,6 +98,9 @@
 
     in_flight: dict[str, int]
     processes: int
+    # Median of the factors by which their measured passes exceed the published ones, by
+    # service; empty where no other gateway has measured any of late.
+    pass_factors: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -83,6 +83,7 @@
                 follower.clock,
                 lambda index=index: [f"{hosts[1 - index]}:1"],
                 lambda index=index: {"u1": index + 1},
+                lambda index=index: {"llm": 1.0 + index},
                 lambda index=index: (index, 0),
                 behind.append,
             )
@@ -92,7 +93,7 @@
         loads: list[PeerLoads] = []
         while (load := mailboxes[0].take()) is not None:
             loads.append(load)
-        assert loads[-1] == PeerLoads({"u1": 2}, 2)
+        assert loads[-1] == PeerLoads({"u1": 2}, 2, {"llm": 2.0})
         assert set(behind) == {"127.0.0.2:1"}
 
     run_followers(test)
--- a/packages/emulator/src/sardineyard/emulator/play.py
+++ b/packages/emulator/src/sardineyard/emulator/play.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
 from random import Random
+from statistics import median
 from typing import TYPE_CHECKING
 
 from sardineyard.core.clock import Deadline, ManualClock
@@ -165,7 +166,14 @@
                     continue
                 for upstream, count in loads.items():
                     others[upstream] = others.get(upstream, 0) + count
-            book.hear(others, len(self._books), {_SERVICE: self._usable})
+            factors = [other.pass_factors for other in self._books if other is not book]
+            heard = [f[_SERVICE] for f in factors if _SERVICE in f]
+            book.hear(
+                others,
+                len(self._books),
+                {_SERVICE: self._usable},
+                {_SERVICE: median(heard)} if heard else {},
+            )
 
     def _let_arrive(self, now: float) -> None:
         while self._due and self._due[0][0] <= now:
--- a/packages/forwarding/src/sardineyard/forwarding/passes.py
+++ b/packages/forwarding/src/sardineyard/forwarding/passes.py
@@ -52,6 +52,8 @@
         self._pause_s = 0.0
         self._factor = 0.0
         self._measured_at = float("-inf")
+        self._heard_factor = 0.0
+        self._heard_at = float("-inf")
         # Since when passes are too long with any number of streams.
         self._hopeless_since: float | None = None
 
@@ -60,6 +62,20 @@
         """Return the mean pause of late, in seconds; zero before the first one."""
         return self._pause_s
 
+    @property
+    def measured_factor(self) -> float | None:
+        """Return the measured over the published passes; None without any of late."""
+        is_fresh = self._clock.now() - self._measured_at <= _STALE_S
+        return self._factor if is_fresh and self._factor > 0 else None
+
+    def hear(self, factor: float) -> None:
+        """Take in the factor that other processes have measured.
+
+        It counts while this process measures none: it would wait for a place until its
+        first stream, and have no stream for as long as it waits.
+        """
+        self._heard_factor, self._heard_at = factor, self._clock.now()
+
     def observe(
         self, pause_s: float, streams_per_rank: float, target_pause_s: float
     ) -> None:
@@ -90,13 +106,15 @@
     def streams_per_rank(self, allowed_pause_s: float) -> float:
         """Return the streams per rank at which pauses stay below the allowed one."""
         now = self._clock.now()
-        if now - self._measured_at > _STALE_S:
-            return self._slots * _FIRST_SHARE
-        if self._per_stream_s <= 0 or self._factor <= 0:
+        factor, since = self.measured_factor, self._hopeless_since
+        if factor is None:
+            if now - self._heard_at > _STALE_S:
+                return self._slots * _FIRST_SHARE
+            factor, since = self._heard_factor, None
+        if self._per_stream_s <= 0 or factor <= 0:
             return self._slots
-        pass_s = _USED_PAUSE * allowed_pause_s / self._factor
+        pass_s = _USED_PAUSE * allowed_pause_s / factor
         streams = (pass_s - self._empty_s) / self._per_stream_s
-        since = self._hopeless_since
         if since is not None and now - since > _HOPELESS_FOR_S:
             # Every stream is late however few there are, so as many as possible run.
             return self._slots
--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -103,6 +103,16 @@
         """Return the requests of this process by upstream."""
         return {id: count for id, count in self._own.items() if count > 0}
 
+    @property
+    def pass_factors(self) -> dict[str, float]:
+        """Return the factors of measured over published passes, where known."""
+        models = {name: load.model for name, load in self._services.items()}
+        return {
+            str(name): round(model.measured_factor, 3)
+            for name, model in models.items()
+            if model is not None and model.measured_factor is not None
+        }
+
     @property
     def services(self) -> dict[ServiceName, ServiceLoad]:
         """Return the load by service."""
@@ -123,8 +133,9 @@
         others: Mapping[str, int],
         processes: int,
         upstreams: Mapping[ServiceName, Sequence[UpstreamEntry]],
+        pass_factors: Mapping[str, float],
     ) -> None:
-        """Adopt the requests of the other processes by upstream.
+        """Adopt the requests of the other processes by upstream, and their passes.
 
         Each process gives out its part of the free places before it hears again: all
         see the same free places, and together they would overfill the service.
@@ -132,6 +143,8 @@
         self._others = others
         self._processes = max(1, processes)
         for service, load in self._services.items():
+            if load.model is not None and service in pass_factors:
+                load.model.hear(pass_factors[service])
             listed = upstreams.get(service, ())
             free = self.limit(service, listed) - self._total(listed)
             part = max(0.0, free) / self._processes
--- a/packages/forwarding/tests/test_places.py
+++ b/packages/forwarding/tests/test_places.py
@@ -66,7 +66,7 @@
     make_request: Callable[..., PlaceRequest],
 ) -> None:
     """Guards against a group that each gateway fills on its own."""
-    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks})
+    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks}, {})
     book.enqueue(make_request(1))
     assert book.grant(SERVICE, ranks) == []
 
@@ -80,7 +80,7 @@
     """Guards against pauses above the allowed one while a map is not level."""
     book.enqueue(make_request(1))
     book.grant(SERVICE, ranks)
-    book.hear({rank.id: 4 for rank in ranks}, 2, {SERVICE: ranks})
+    book.hear({rank.id: 4 for rank in ranks}, 2, {SERVICE: ranks}, {})
     for _ in range(50):
         clock.advance(0.1)
         book.observe_pause(SERVICE, 0.06, ranks)
@@ -98,7 +98,7 @@
     clock: ManualClock,
 ) -> None:
     """Guards against holding a request until its caller cannot try again."""
-    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks})
+    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks}, {})
     book.enqueue(make_request(1))
     clock.advance(1.3)
     ((_, decision),) = book.grant(SERVICE, ranks)
@@ -117,16 +117,16 @@
 
     Of those that are late, the one that came back goes first: it is its last attempt.
     """
-    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks})
+    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks}, {})
     book.observe_first_event(SERVICE, 0.2)
     book.enqueue(make_request(1))
     clock.advance(0.4)
     book.enqueue(make_request(2, waited_before_s=2.0))
     book.enqueue(make_request(3))
     assert book.grant(SERVICE, ranks) == []
-    book.hear({rank.id: 2 for rank in ranks}, 2, {SERVICE: ranks})
+    book.hear({rank.id: 2 for rank in ranks}, 2, {SERVICE: ranks}, {})
     order = [request.ticket for request, _ in book.grant(SERVICE, ranks)]
-    book.hear({}, 1, {SERVICE: ranks})
+    book.hear({}, 1, {SERVICE: ranks}, {})
     order += [request.ticket for request, _ in book.grant(SERVICE, ranks)]
     assert order == [3, 2, 1]
 
@@ -141,12 +141,12 @@
     for _ in range(50):
         clock.advance(0.1)
         book.observe_pause(SERVICE, 0.02, ranks)
-    book.hear({rank.id: 6 for rank in ranks}, 1, {SERVICE: ranks})
+    book.hear({rank.id: 6 for rank in ranks}, 1, {SERVICE: ranks}, {})
     for ticket in range(24):
         book.enqueue(make_request(ticket))
     clock.advance(0.6)
     book.observe_pause(SERVICE, 0.02, ranks)
-    book.hear({}, 1, {SERVICE: ranks})
+    book.hear({}, 1, {SERVICE: ranks}, {})
     late = book.grant(SERVICE, ranks)
     assert 12 <= len(late) <= 0.75 * 24
     for ticket in range(100, 130):
@@ -169,7 +169,7 @@
         book.configure({SERVICE: ServiceProfile(SERVICE, 100, ENGINE)})
         for ticket in range(20):
             book.enqueue(make_request(ticket))
-        book.hear({rank.id: 2 for rank in ranks}, 8, {SERVICE: ranks})
+        book.hear({rank.id: 2 for rank in ranks}, 8, {SERVICE: ranks}, {})
         decisions = book.grant(SERVICE, ranks)
         granted += sum(isinstance(decision, Place) for _, decision in decisions)
     assert 0 < granted <= 4 * (6 - 2)
@@ -181,10 +181,10 @@
     make_request: Callable[..., PlaceRequest],
 ) -> None:
     """Guards against a place for a caller that is gone."""
-    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks})
+    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks}, {})
     book.enqueue(make_request(1))
     book.release(TicketId(1))
-    book.hear({}, 1, {SERVICE: ranks})
+    book.hear({}, 1, {SERVICE: ranks}, {})
     assert book.grant(SERVICE, ranks) == []
 
 
@@ -224,7 +224,7 @@
     clock: ManualClock,
 ) -> None:
     """Guards against a second refusal where a place is free a moment later."""
-    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks})
+    book.hear({rank.id: 6 for rank in ranks}, 2, {SERVICE: ranks}, {})
     book.enqueue(make_request(1))
     book.enqueue(make_request(2, waited_before_s=2.0))
     clock.advance(1.5)
@@ -263,3 +263,22 @@
     book.rejected(SERVICE, "u0")
     book.enqueue(make_request(1))
     assert len(book.grant(SERVICE, ranks)) == 1
+
+
+def test_a_gateway_without_streams_uses_the_passes_of_the_others(
+    book: PlaceBook,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+    clock: ManualClock,
+) -> None:
+    """Guards against a restarted gateway that gives no place while others fill it."""
+    book.enqueue(make_request(1))
+    book.hear({rank.id: 4 for rank in ranks}, 4, {SERVICE: ranks}, {})
+    assert book.grant(SERVICE, ranks) == []
+    book.hear({rank.id: 4 for rank in ranks}, 4, {SERVICE: ranks}, {SERVICE: 1.2})
+    ((_, decision),) = book.grant(SERVICE, ranks)
+    assert isinstance(decision, Place)
+    assert book.pass_factors == {}
+    clock.advance(0.1)
+    book.observe_pause(SERVICE, 0.06, ranks)
+    assert book.pass_factors[SERVICE] > 0
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -107,6 +107,7 @@
             clock,
             lambda: self._exchange.alive,
             self._dispatcher.in_flight,
+            self._dispatcher.pass_factors,
             lambda: self._keeper.versions,
             self._exchange.ask,
         )
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -80,6 +80,10 @@
         """Return the requests of this gateway by upstream."""
         return self._book.own_in_flight
 
+    def pass_factors(self) -> dict[str, float]:
+        """Return the factors of measured over published passes, by service."""
+        return self._book.pass_factors
+
     async def run(self) -> None:
         """Handle messages until cancelled."""
         while True:
@@ -105,7 +109,12 @@
     @_handle.register(PeerLoads)
     def _peer_loads(self, message: PeerLoads) -> None:
         self._processes = message.processes
-        self._book.hear(message.in_flight, message.processes, self._catalog.upstreams)
+        self._book.hear(
+            message.in_flight,
+            message.processes,
+            self._catalog.upstreams,
+            message.pass_factors,
+        )
         self._budget.share_among(message.processes)
         self._grant_all()
 
--- a/packages/rebalancer/tests/test_local_rank.py
+++ b/packages/rebalancer/tests/test_local_rank.py
@@ -54,6 +54,7 @@
             clock,
             list,
             dict,
+            dict,
             lambda: (0, 0),
             lambda _: None,
         )
