Close connections behind answers that were begun before a stop

Cause: a stopping gateway closes idle connections after 2.5 s and announces the end with the heads that it sends. The head of a stream that was running at the stop did not announce it, so its connection stayed open behind the stream, and the caller's next request, 4.8 s after the SIGTERM, had 2.5 s until the exit.

Ruled out: new connections, which are not accepted after 2.5 s.

Change: a connection ends with its answer once the gateway stops, whatever the head said. A request that crosses the close is not read, so callers may repeat it.

Test: test_a_stopping_gateway_takes_no_request_behind_a_long_stream failed before with a time-out, the connection stayed open.

--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -420,3 +420,35 @@
         assert await idle.reader.read() == b""
 
     run_world(test)
+
+
+def test_a_stopping_gateway_takes_no_request_behind_a_long_stream(
+    run_world: RunWorld,
+) -> None:
+    """Guards against a late request on a kept connection that the exit cuts."""
+    goes_on = asyncio.Event()
+
+    async def script(peer: Peer) -> None:
+        while request := await peer.receive():
+            peer.start_stream(request)
+            peer.event(1)
+            await peer.writer.drain()
+            await goes_on.wait()
+            peer.chunk(b"")
+
+    async def test(world: Any) -> None:
+        await world.start(script)
+        client = await world.client()
+        client.send("/stream/")
+        # The head goes out before the stop and promises to keep the connection.
+        assert (await client.head())[0] == 200
+        draining = asyncio.ensure_future(world.daemon.drain())
+        # Idle connections are closed before that.
+        await asyncio.sleep(1.6)
+        goes_on.set()
+        async with asyncio.timeout(0.5):
+            rest = await client.reader.read()
+        assert rest.endswith(b"0\r\n\r\n")
+        await draining
+
+    run_world(test)
--- a/packages/httpio/src/sardineyard/httpio/acceptor.py
+++ b/packages/httpio/src/sardineyard/httpio/acceptor.py
@@ -233,8 +233,10 @@
             # The client must not take the answer for a complete one.
             self._link.abort()
             return False
+        # An answer whose head was sent before may not have announced the end.
+        is_last = answer.is_last or self._acceptor.closes_after_answer
         return (
-            not answer.is_last
+            not is_last
             and http.our_state is h11.DONE
             and not self._link.ended.is_set()
         )
