Share the places for late requests among the gateways

Cause: a gateway's credit is its part of all free places. When late requests may have places again, 22 gateways spend their whole credit on them at once, and requests that can be on time find the group full.

Change: late requests have a credit of their own, from the places that they may use.

Test: test_gateways_share_the_places_for_late_requests failed before with 24 <= 16.8.

--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -71,8 +71,10 @@
     model: PassModel | None
     waiting: list[PlaceRequest] = field(default_factory=list)
     allowed_pause_s: float = 0.0
-    # Places that this process may still give out before it hears from the others.
+    # Places that this process may still give out before it hears from the others, and
+    # those of them that requests which are late already may get.
     credit: float = 1.0
+    late_credit: float = 1.0
     # Mean time from a place to the first event, in seconds.
     first_event_s: float = _USUAL_FIRST_EVENT_S
     # Upstreams that rejected a request since the last one that was run.
@@ -146,9 +148,15 @@
             if load.model is not None and service in pass_factors:
                 load.model.hear(pass_factors[service])
             listed = upstreams.get(service, ())
-            free = self.limit(service, listed) - self._total(listed)
-            part = max(0.0, free) / self._processes
-            load.credit = min(max(1.0, part), load.credit + part)
+            limit, total = self.limit(service, listed), self._total(listed)
+            load.credit = self._grown(load.credit, limit - total)
+            for_late = limit * (1.0 - _RESERVED_FROM_LATE) - total
+            load.late_credit = self._grown(load.late_credit, for_late)
+
+    def _grown(self, credit: float, free: float) -> float:
+        """Return the credit with the part of this process in the free places."""
+        part = max(0.0, free) / self._processes
+        return min(max(1.0, part), credit + part)
 
     def in_flight(self, upstream: str) -> int:
         """Return the requests of all processes at an upstream, as far as known."""
@@ -231,7 +239,7 @@
         for request in sorted(load.waiting, key=self._rank):
             place = self._find_place(request, upstreams, limit)
             if place is not None:
-                self._take(request, place.upstream.id)
+                self._take(request, place)
                 decided.append((request, place))
             elif refused := self._refuse(request, upstreams, limit, len(kept)):
                 decided.append((request, refused))
@@ -270,13 +278,15 @@
     ) -> Place | None:
         total = self._total(upstreams)
         reserved = min(_MOST_RESERVED, _RESERVED_PER_PRIORITY * request.priority)
-        reserved += _RESERVED_FROM_LATE * self._is_late(request)
+        is_late = self._is_late(request)
+        reserved += _RESERVED_FROM_LATE * is_late
         share = 1.0 if request.is_continuation else 1.0 - reserved
         load = self._services[request.service]
         queued = 0 if load.model is not None else _QUEUED_AT_UPSTREAM
         if total >= max(1.0, limit * share):
             return None
-        if self._processes > 1 and load.credit < 1.0 and not request.is_continuation:
+        credit = min(load.credit, load.late_credit) if is_late else load.credit
+        if self._processes > 1 and credit < 1.0 and not request.is_continuation:
             return None
         if load.is_closed and self._clock.now() < load.probe_at:
             return None
@@ -287,7 +297,6 @@
             return None
         drawn = self._rng.sample(free, min(len(free), _DRAWN_UPSTREAMS))
         best = min(drawn, key=self._cost)
-        is_late = self._is_late(request)
         return Place(best, self.in_flight(best.id), total, limit, is_late)
 
     def _total(self, upstreams: Sequence[UpstreamEntry]) -> int:
@@ -301,11 +310,13 @@
             + _TIE_BREAK * self._rng.random()
         )
 
-    def _take(self, request: PlaceRequest, upstream: str) -> None:
+    def _take(self, request: PlaceRequest, place: Place) -> None:
+        upstream = place.upstream.id
         self._own[upstream] = self._own.get(upstream, 0) + 1
         self._granted[request.ticket] = (request.service, upstream)
         load = self._services[request.service]
         load.credit -= 1.0
+        load.late_credit -= place.is_late
         load.probe_at = self._clock.now() + _PROBE_S
 
     def _refuse(
--- a/packages/forwarding/tests/test_places.py
+++ b/packages/forwarding/tests/test_places.py
@@ -175,6 +175,26 @@
     assert 0 < granted <= 4 * (6 - 2)
 
 
+def test_gateways_share_the_places_for_late_requests(
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., PlaceRequest],
+    clock: ManualClock,
+) -> None:
+    """Guards against processes whose late requests fill the places of all others."""
+    arrived = clock.now()
+    clock.advance(0.6)
+    granted = 0
+    for process in range(2):
+        book = PlaceBook(clock, Random(process), FailureDomain("a"))
+        book.configure({SERVICE: ServiceProfile(SERVICE, 100, ENGINE)})
+        for ticket in range(20):
+            book.enqueue(make_request(ticket, arrived=arrived))
+        book.hear({}, 2, {SERVICE: ranks}, {SERVICE: 0.5})
+        decisions = book.grant(SERVICE, ranks)
+        granted += sum(isinstance(decision, Place) for _, decision in decisions)
+    assert 12 <= granted <= 0.7 * 24
+
+
 def test_a_released_ticket_no_longer_waits(
     book: PlaceBook,
     ranks: list[UpstreamEntry],
--- a/packages/httpio/src/sardineyard/httpio/acceptor.py
+++ b/packages/httpio/src/sardineyard/httpio/acceptor.py
@@ -236,9 +236,7 @@
         # An answer whose head was sent before may not have announced the end.
         is_last = answer.is_last or self._acceptor.closes_after_answer
         return (
-            not is_last
-            and http.our_state is h11.DONE
-            and not self._link.ended.is_set()
+            not is_last and http.our_state is h11.DONE and not self._link.ended.is_set()
         )
 
     async def _run_handler(self, request: IncomingRequest, answer: Answer) -> None:
