--- a/packages/experts/src/sardineyard/experts/popularity.py
+++ b/packages/experts/src/sardineyard/experts/popularity.py
@@ -25,7 +25,7 @@
 # differ by up to 0.15 anyway, and 0.15 with 72 ranks and 144 experts, where they
 # differ by 0.04 (measured).
 _UNUSUAL = 3.0
-_LEAST_SHIFTED_SHARE = 0.05
+_LEAST_SHIFTED_SHARE = 0.08
 _MOST_SHIFTED_SHARE = 0.16
 # Weight of the newest update in what usually moves.
 _USUAL_WEIGHT = 0.1
--- a/packages/forwarding/src/sardineyard/forwarding/passes.py
+++ b/packages/forwarding/src/sardineyard/forwarding/passes.py
@@ -103,6 +103,10 @@
         """Return the time of a pass with the fewest streams, in seconds."""
         return self._factor * (self._empty_s + self._least_streams * self._per_stream_s)
 
+    def allows_on_time(self, allowed_pause_s: float) -> bool:
+        """Return whether pauses can be short enough, with few streams at least."""
+        return self.measured_factor is None or self._shortest_s <= allowed_pause_s
+
     def streams_per_rank(self, allowed_pause_s: float) -> float:
         """Return the streams per rank at which pauses stay below the allowed one."""
         now = self._clock.now()
--- a/packages/forwarding/src/sardineyard/forwarding/places.py
+++ b/packages/forwarding/src/sardineyard/forwarding/places.py
@@ -33,6 +33,8 @@
 # on time: a late answer earns a third, and makes the next request late as well. The
 # limit itself varies by a tenth from pass to pass, so a smaller part is no reserve.
 _RESERVED_FROM_LATE = 0.3
+# The same while passes are too long for any stream to be on time.
+_RESERVED_FROM_LATE_IN_VAIN = 0.12
 # Cost of another failure domain in places: bytes between domains are paid for.
 _OTHER_DOMAIN_COST = 0.4
 # Upstreams that are drawn at random, of which the least loaded is chosen. Processes
@@ -81,6 +83,14 @@
     rejecting: set[str] = field(default_factory=set)
     probe_at: float = 0.0
 
+    @property
+    def reserved_from_late(self) -> float:
+        """Return the part of the streams that late requests leave to others."""
+        model = self.model
+        if model is None or model.allows_on_time(self.allowed_pause_s):
+            return _RESERVED_FROM_LATE
+        return _RESERVED_FROM_LATE_IN_VAIN
+
     @property
     def is_closed(self) -> bool:
         """Return whether the group of an engine is known to run nothing."""
@@ -150,7 +160,7 @@
             listed = upstreams.get(service, ())
             limit, total = self.limit(service, listed), self._total(listed)
             load.credit = self._grown(load.credit, limit - total)
-            for_late = limit * (1.0 - _RESERVED_FROM_LATE) - total
+            for_late = limit * (1.0 - load.reserved_from_late) - total
             load.late_credit = self._grown(load.late_credit, for_late)
 
     def _grown(self, credit: float, free: float) -> float:
@@ -276,12 +286,12 @@
     def _find_place(
         self, request: PlaceRequest, upstreams: Sequence[UpstreamEntry], limit: float
     ) -> Place | None:
+        load = self._services[request.service]
         total = self._total(upstreams)
         reserved = min(_MOST_RESERVED, _RESERVED_PER_PRIORITY * request.priority)
         is_late = self._is_late(request)
-        reserved += _RESERVED_FROM_LATE * is_late
+        reserved += load.reserved_from_late * is_late
         share = 1.0 if request.is_continuation else 1.0 - reserved
-        load = self._services[request.service]
         queued = 0 if load.model is not None else _QUEUED_AT_UPSTREAM
         if total >= max(1.0, limit * share):
             return None
