Leave out counts whose number is not the expected one

Found on reading the change: the choices that ranks send went into the estimate without the check of their number that counters had, and counters of another length in one incarnation raised an error, so that a rank that answers nonsense would end the coordinator or the task beside the rank.

Change: both are left out. GroupMembers names a rebalancer that answers reachable.

Test: test_counts_of_another_size_are_left_out failed before with an IndexError in PopularityTracker.add.

--- a/packages/experts/src/sardineyard/experts/load.py
+++ b/packages/experts/src/sardineyard/experts/load.py
@@ -34,7 +34,7 @@
         """Return the growth since the last report; empty for a first one."""
         known = self._seen.get(source)
         self._seen[source] = (incarnation, tuple(counters))
-        if known is None or known[0] != incarnation:
+        if known is None or known[0] != incarnation or len(known[1]) != len(counters):
             return []
         return [
             max(0, now - before) for now, before in zip(counters, known[1], strict=True)
--- a/packages/experts/src/sardineyard/experts/popularity.py
+++ b/packages/experts/src/sardineyard/experts/popularity.py
@@ -79,12 +79,12 @@
         self, rank: RankIndex, started_ms: int, counters: Sequence[int]
     ) -> None:
         """Take in the counters of one rank, which only grow in one incarnation."""
-        if len(counters) != self._sets * self._experts:
-            return
         self.add(self._counters.take(rank, started_ms, counters))
 
     def add(self, choices: Sequence[float]) -> None:
-        """Take in choices of each expert, set by set."""
+        """Take in choices of each expert, set by set, if their number fits."""
+        if len(choices) != self._sets * self._experts:
+            return
         for index, count in enumerate(choices):
             part, expert = divmod(index, self._experts)
             self._fresh[part][expert] += count
--- a/packages/experts/tests/test_popularity.py
+++ b/packages/experts/tests/test_popularity.py
@@ -98,6 +98,15 @@
     assert not any([play(after) for _ in range(20)])
 
 
+def test_counts_of_another_size_are_left_out(tracker) -> None:
+    """Guard against a coordinator that ends because a rank answers nonsense."""
+    for size in (EXPERTS, EXPERTS + 3, EXPERTS - 1, 0):
+        tracker.observe(RankIndex(0), 1, [1000] * size)
+        tracker.add([1000] * (size + 5))
+        tracker.update()
+    assert not tracker.is_known
+
+
 def test_a_restarted_rank_adds_no_choices(tracker, clock) -> None:
     """Guard against counters of two incarnations taken as one."""
     tracker.observe(RankIndex(0), 1, [1000] * EXPERTS)
--- a/packages/rebalancer/src/sardineyard/rebalancer/members.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/members.py
@@ -67,7 +67,7 @@
 
     async def gather(self, request: GatherRequest) -> GatherReply:
         """Return the state of the rank; raise FencedError."""
-        if self.can_relay:
+        if self.is_reachable:
             reply = await self._channel.gather(request)
             if reply is not None:
                 if reply.known_fence > request.fence:
@@ -83,7 +83,7 @@
 
     async def order(self, request: OrderRequest) -> OrderResult:
         """Give an order; raise FencedError."""
-        if self.can_relay:
+        if self.is_reachable:
             reply = await self._channel.order(request)
             if reply is not None:
                 return _result(request, reply)
@@ -92,7 +92,7 @@
         return await self._runner.order(request.order, request.epoch, request.fence)
 
     @property
-    def can_relay(self) -> bool:
+    def is_reachable(self) -> bool:
         """Return whether the rebalancer is taken as reachable."""
         return self._clock.now() >= self._direct_until
 
@@ -189,10 +189,10 @@
 
     def _split(self) -> tuple[list[RankIndex], list[_Block]]:
         """Return the ranks to call, and those that relay with the ranks behind them."""
-        near = [r for r, m in self._members.items() if isinstance(m, Member)]
-        reachable = [rank for rank in near if self._remote(rank).can_relay]
         if len(self._members) <= _MOST_DIRECT:
             return list(self._members), []
+        remote = [r for r, m in self._members.items() if isinstance(m, Member)]
+        reachable = [rank for rank in remote if self._remote(rank).is_reachable]
         # Ranks of one failure domain stand together, so that most bytes stay in it.
         reachable.sort(key=lambda rank: (self._remote(rank).entry.failure_domain, rank))
         size = ceil(sqrt(len(reachable)))
