--- a/packages/forwarding/src/sardineyard/forwarding/passes.py
+++ b/packages/forwarding/src/sardineyard/forwarding/passes.py
@@ -68,6 +68,15 @@
         is_fresh = self._clock.now() - self._measured_at <= _STALE_S
         return self._factor if is_fresh and self._factor > 0 else None
 
+    @property
+    def _least_streams(self) -> float:
+        return self._slots * _LEAST_SHARE
+
+    @property
+    def _shortest_s(self) -> float:
+        """Return the time of a pass with the fewest streams, in seconds."""
+        return self._factor * (self._empty_s + self._least_streams * self._per_stream_s)
+
     def hear(self, factor: float) -> None:
         """Take in the factor that other processes have measured.
 
@@ -94,15 +103,6 @@
         elif self._hopeless_since is None:
             self._hopeless_since = now
 
-    @property
-    def _least_streams(self) -> float:
-        return self._slots * _LEAST_SHARE
-
-    @property
-    def _shortest_s(self) -> float:
-        """Return the time of a pass with the fewest streams, in seconds."""
-        return self._factor * (self._empty_s + self._least_streams * self._per_stream_s)
-
     def allows_on_time(self, allowed_pause_s: float) -> bool:
         """Return whether pauses can be short enough, with few streams at least."""
         return self.measured_factor is None or self._shortest_s <= allowed_pause_s
--- a/packages/rebalancer/src/sardineyard/rebalancer/members.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/members.py
@@ -65,6 +65,11 @@
         self._runner = open_runner(Address(entry.host, entry.port))
         self._direct_until = Deadline(0.0)
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the rebalancer is taken as reachable."""
+        return self._clock.now() >= self._direct_until
+
     async def gather(self, request: GatherRequest) -> GatherReply:
         """Return the state of the rank; raise FencedError."""
         if self.is_reachable:
@@ -91,11 +96,6 @@
             return OrderResult.UNANSWERED
         return await self._runner.order(request.order, request.epoch, request.fence)
 
-    @property
-    def is_reachable(self) -> bool:
-        """Return whether the rebalancer is taken as reachable."""
-        return self._clock.now() >= self._direct_until
-
     async def relay(self, request: RelayRequest) -> dict[RankIndex, OrderResult]:
         """Give an order to several ranks; return the results of those that answered.
 
