--- a/packages/experts/src/sardineyard/experts/refine.py
+++ b/packages/experts/src/sardineyard/experts/refine.py
@@ -132,12 +132,15 @@
 
     def _candidates(self, ranks: list[int]) -> Iterator[_Change]:
         busiest = ranks[-1]
-        hot = self._hottest(busiest)
+        hottest = self._hottest(busiest)
         for rank in ranks[: min(self._limits.partners, len(ranks) - 1)]:
-            yield from self._swaps(busiest, rank, hot)
-            yield from self._additions(rank, hot)
+            yield from self._swaps(busiest, rank, hottest)
+            openings = list(self._openings(rank, hottest))
+            for _, hot, j in openings:
+                yield ((rank, j, hot),)
             if self._limits.slots_per_rank is not None:
-                yield from self._moves(busiest, rank, hot)
+                for i, hot, j in openings:
+                    yield ((busiest, i, _EMPTY), (rank, j, hot))
         yield from self._removals(busiest)
 
     def _hottest(self, busiest: int) -> list[tuple[int, ExpertIndex]]:
@@ -157,27 +160,16 @@
                 if cold == _EMPTY or busiest not in self._holders[cold]:
                     yield ((busiest, i, cold), (rank, j, hot))
 
-    def _additions(
+    def _openings(
         self, rank: int, hottest: list[tuple[int, ExpertIndex]]
-    ) -> Iterator[_Change]:
-        """Put one more replica of a hot expert in place of a spare replica."""
-        for _, hot in hottest:
-            if rank in self._holders[hot]:
-                continue
-            for j, cold in enumerate(self._held[rank]):
-                if cold == _EMPTY or len(self._holders[cold]) > 1:
-                    yield ((rank, j, hot),)
-
-    def _moves(
-        self, busiest: int, rank: int, hottest: list[tuple[int, ExpertIndex]]
-    ) -> Iterator[_Change]:
-        """Move a replica to another rank, in place of a spare replica there."""
+    ) -> Iterator[tuple[int, ExpertIndex, int]]:
+        """Find the slots of a rank that can take a hot expert for a spare replica."""
         for i, hot in hottest:
             if rank in self._holders[hot]:
                 continue
             for j, cold in enumerate(self._held[rank]):
                 if cold == _EMPTY or len(self._holders[cold]) > 1:
-                    yield ((busiest, i, _EMPTY), (rank, j, hot))
+                    yield i, hot, j
 
     def _removals(self, busiest: int) -> Iterator[_Change]:
         """Replace a spare replica on the busiest rank by a less loaded expert."""
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from sardineyard.standins.gateway_world import counting
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -88,16 +90,6 @@
     return run
 
 
-def counting(script: Script, seen: list[Peer]) -> Script:
-    """Return a script that notes each connection."""
-
-    async def run(peer: Peer) -> None:
-        seen.append(peer)
-        await script(peer)
-
-    return run
-
-
 # Requests until the endless upstream is surely chosen once.
 TRIES = 12
 ENDLESS = [endless_head, endless_interim_answers, endless_body]
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sardineyard.forwarding.source import StoreFailure
+from sardineyard.standins.gateway_world import counting
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -38,16 +39,6 @@
     peer.reset()
 
 
-def counting(script: Script, seen: list[Any]) -> Script:
-    """Return a script that notes each connection."""
-
-    async def run(peer: Peer) -> None:
-        seen.append(peer)
-        await script(peer)
-
-    return run
-
-
 def test_a_request_reaches_its_upstream_unchanged(run_world: RunWorld) -> None:
     """Guards against a changed path or body, and a key that an upstream sees."""
     received: list[Any] = []
--- a/packages/rebalancer/tests/test_relay.py
+++ b/packages/rebalancer/tests/test_relay.py
@@ -21,7 +21,7 @@
 from sardineyard.standins.lockstep_group import FakeGroup, FakeRunner
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from sardineyard.core.address import Address
     from sardineyard.experts.group import RankReport
@@ -35,6 +35,7 @@
 SHAPE = GroupShape(72, 12, 144, 3, 2, 0.016)
 LINK_BYTES_PER_S = 4e6 / 8
 MANY = 28
+HOT = [40.0, 30.0, 20.0] + [1.0] * (2 * MANY - 3)
 
 
 class CountingChannel:
@@ -119,36 +120,42 @@
     assert max(CountingChannel.relayed.values()) < 0.1 * LINK_BYTES_PER_S
 
 
+@pytest.fixture
+def level(skew, until) -> Callable[[FakeGroup], Awaitable[None]]:
+    """Return a function that waits until the map of a group is clearly more level."""
+
+    async def wait(group: FakeGroup) -> None:
+        before = skew(group)
+        await until(lambda: skew(group) < 0.7 * before, 10.0)
+
+    return wait
+
+
 def test_a_large_group_is_levelled_through_relays(
-    run_group: Callable[..., None], skew, until
+    run_group: Callable[..., None], level
 ) -> None:
     """Guards against ranks behind a relay that miss a map."""
-    hot = [40.0, 30.0, 20.0] + [1.0] * (2 * MANY - 3)
 
     async def test(group: FakeGroup, rebalancers: list) -> None:
-        before = skew(group)
-        await until(lambda: skew(group) < 0.7 * before, 10.0)
+        await level(group)
         assert len({rank.in_use for rank in group.ranks}) == 1
 
-    run_group(test, hot)
+    run_group(test, HOT)
 
 
 def test_ranks_behind_a_dead_relay_get_the_map_directly(
-    run_group: Callable[..., None], skew, until
+    run_group: Callable[..., None], level
 ) -> None:
     """Guards against a group that stays unlevel because one rebalancer is gone."""
-    hot = [40.0, 30.0, 20.0] + [1.0] * (2 * MANY - 3)
 
     async def test(group: FakeGroup, rebalancers: list) -> None:
-        before = skew(group)
-        await until(lambda: skew(group) < 0.7 * before, 10.0)
+        await level(group)
         leading = next(r for r in rebalancers if r.coordinator.is_coordinator)
         others = [r for r in rebalancers if r is not leading]
         # Blocks of ranks begin at every sixth one, so some of these relay.
         for rebalancer in others[:8]:
             await rebalancer.kill()
-        group.popularity = hot[::-1]
-        before = skew(group)
-        await until(lambda: skew(group) < 0.7 * before, 10.0)
+        group.popularity = HOT[::-1]
+        await level(group)
 
-    run_group(test, hot)
+    run_group(test, HOT)
--- a/packages/standins/src/sardineyard/standins/gateway_world.py
+++ b/packages/standins/src/sardineyard/standins/gateway_world.py
@@ -280,3 +280,15 @@
             return
         finally:
             writer.close()
+
+
+def counting(
+    script: Callable[[Peer], Awaitable[None]], seen: list[Peer]
+) -> Callable[[Peer], Awaitable[None]]:
+    """Return a script that notes each connection."""
+
+    async def run(peer: Peer) -> None:
+        seen.append(peer)
+        await script(peer)
+
+    return run
