Keep a rebalancer running while it reaches no other one

Cause: GroupMembers divides the reachable rebalancers of a group of more than 24 ranks into blocks of the size ceil(sqrt(count)). While none is reachable the size is 0, and range() raises ValueError, which ends the process.

Change: the size is at least 1, so there are no blocks and all ranks are called directly.

Result: test_orders_reach_a_large_group_while_no_rebalancer_is_reachable fails with the same ValueError on the code before and passes now.

--- a/packages/rebalancer/src/sardineyard/rebalancer/members.py
+++ b/packages/rebalancer/src/sardineyard/rebalancer/members.py
@@ -204,7 +204,8 @@
         reachable.sort(
             key=lambda rank: (self._remote_member(rank).entry.failure_domain, rank)
         )
-        size = ceil(sqrt(len(reachable)))
+        # While no other rebalancer is reachable, all ranks are called directly.
+        size = max(1, ceil(sqrt(len(reachable))))
         blocks = [reachable[i : i + size] for i in range(0, len(reachable), size)]
         direct = [rank for rank in self._members if rank not in set(reachable)]
         return direct, [(block[0], block[1:]) for block in blocks]
--- a/packages/rebalancer/tests/test_relay.py
+++ b/packages/rebalancer/tests/test_relay.py
@@ -10,7 +10,14 @@
 import pytest
 
 from sardineyard.core.clock import SystemClock
-from sardineyard.core.ids import FailureDomain, FencingNumber, RankIndex, ServiceName
+from sardineyard.core.ids import (
+    FailureDomain,
+    FencingNumber,
+    RankIndex,
+    ServiceName,
+    StepNumber,
+)
+from sardineyard.experts.group import HoldStep
 from sardineyard.experts.layout_plan import GroupShape, first_layout
 from sardineyard.experts.maps import MapVersion
 from sardineyard.experts.switch import MapSwitch, SwitchResult
@@ -126,6 +133,30 @@
     assert max(ByteCountingChannel.relayed_bytes.values()) < 0.1 * LINK_BYTES_PER_S
 
 
+def test_orders_reach_a_large_group_while_no_rebalancer_is_reachable(
+    members, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a rebalancer that exits because it has no rank to relay orders."""
+
+    async def no_reply(channel: ByteCountingChannel, request: object) -> None:
+        return None
+
+    monkeypatch.setattr(ByteCountingChannel, "relay", no_reply)
+    monkeypatch.setattr(ByteCountingChannel, "order", no_reply)
+    monkeypatch.setattr(ByteCountingChannel, "gather", no_reply)
+
+    async def run_test() -> None:
+        results = {}
+        for _ in range(2):
+            # The first orders find the rebalancers unreachable, which is remembered.
+            for rank in members.ranks:
+                await members.report(rank)
+            results = await members.broadcast(HoldStep(StepNumber(1)))
+        assert set(results) == set(members.ranks)
+
+    asyncio.run(run_test())
+
+
 @pytest.fixture
 def wait_until_balanced(skew, until) -> Callable[[FakeGroup], Awaitable[None]]:
     """Return a function that waits until the skew of a group falls by 30 percent."""
