Log the prompt parts and the events of each call

The logs of the incident cannot tell whether requests that end with the same sign share a part of their prompt, and `events` counts all calls of a request, so a resumed stream hides a call that got none. The platform's adapter decodes the parts of a prompt that other requests may have too; the line of a call has them and its own number of events.

--- a/packages/core/src/sardineyard/core/ids.py
+++ b/packages/core/src/sardineyard/core/ids.py
@@ -11,6 +11,7 @@
 FailureDomain = NewType("FailureDomain", str)
 ProcessId = NewType("ProcessId", str)
 RequestId = NewType("RequestId", str)
+PromptPartId = NewType("PromptPartId", str)
 Fingerprint = NewType("Fingerprint", str)
 # Start time of a process in microseconds since 1970; a restart gives a larger one.
 Incarnation = NewType("Incarnation", int)
--- a/packages/forwarding/src/sardineyard/forwarding/messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/messages.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from sardineyard.core.ids import RequestId, TeamId
+    from sardineyard.core.ids import PromptPartId, RequestId, TeamId
 
 # Names and values of header fields, in the order and spelling in which they were sent.
 HeaderList = list[tuple[bytes, bytes]]
@@ -22,6 +22,9 @@
     team_key: str = ""
     # Id of the last event that the caller received; empty for a new stream.
     last_event_id: str = ""
+    # Parts of the prompt that other requests may have too, in order. The last part of a
+    # prompt belongs to the request or its session and is left out.
+    shared_prompt_parts: tuple[PromptPartId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -101,6 +101,8 @@
         self._started_at = environment.clock.now()
         self._first_event_s: float | None = None
         self._max_event_gap_s = 0.0
+        # Complete events that this upstream sent, duplicates included.
+        self._call_events = 0
         self._reason = ""
         self.failure: BufferedFailure | None = None
 
@@ -249,7 +251,9 @@
                 break
             if idle_deadline is None:
                 idle_deadline = deadline_after(self._clock, _STREAM_IDLE_TIMEOUT_S)
-            events = [e for e in parser.feed(chunk) if self._events.accept(e)]
+            received = parser.feed(chunk)
+            self._call_events += len(received)
+            events = [event for event in received if self._events.accept(event)]
             if not events:
                 continue
             now = self._clock.now()
@@ -345,6 +349,8 @@
                 if response_metadata
                 else "",
                 "events": self._events.count,
+                "call_events": self._call_events,
+                "prompt_parts": self._admitted.metadata.shared_prompt_parts,
                 "first_event_ms": _ms(self._first_event_s),
                 "longest_pause_ms": _ms(self._max_event_gap_s),
                 "reason": self._reason,
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from sardineyard.core.ids import RequestId
+from sardineyard.core.ids import PromptPartId, RequestId
 from sardineyard.forwarding.messages import (
     RequestMetadata,
     ResponseMetadata,
@@ -140,6 +140,9 @@
             client_timeout_s=float(client_timeout) if client_timeout else None,
             team_key=find(headers, b"x-key").decode(),
             last_event_id=find(headers, b"last-event-id").decode(),
+            shared_prompt_parts=tuple(
+                map(PromptPartId, find(headers, b"x-parts").decode().split())
+            ),
         )
 
     def forwarded_headers(
