Move the forwarding of streams out of the call to an upstream

`gateway/call.py` held connecting, the exchange, the stream and its timers. No behaviour changes; the tests are as before.

--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -7,42 +7,28 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from sardineyard.core.clock import deadline_after, remaining
 from sardineyard.forwarding.config import RetryPolicy
-from sardineyard.forwarding.events import EventParser, MalformedStreamError
+from sardineyard.forwarding.events import MalformedStreamError
 from sardineyard.gateway.attempts import CallOutcome
-from sardineyard.gateway.dispatcher import acquire_retry
-from sardineyard.gateway.messages import (
-    CallEnded,
-    CallResult,
-    EventGapMeasured,
-    FirstEventMeasured,
-)
+from sardineyard.gateway.context import deliver
+from sardineyard.gateway.messages import CallEnded, CallResult
+from sardineyard.gateway.stream import StreamForwarder, StreamMovedError
 from sardineyard.httpio.call import CONNECT_TIMEOUT_S, InvalidResponseError
 from sardineyard.httpio.fields import drop_connection_fields
 
 if TYPE_CHECKING:
-    from sardineyard.core.clock import Deadline
     from sardineyard.core.mailbox import Mailbox
-    from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.config import UpstreamEntry
-    from sardineyard.forwarding.events import EventDeduplicator
     from sardineyard.forwarding.messages import ResponseMetadata
-    from sardineyard.gateway.attempts import Progress
-    from sardineyard.gateway.environment import Environment
+    from sardineyard.gateway.context import RequestContext
     from sardineyard.gateway.messages import MoveStream
-    from sardineyard.httpio.acceptor import ResponseWriter
     from sardineyard.httpio.call import CallConnection, ResponseHead
     from sardineyard.httpio.fields import HeaderList
-    from sardineyard.httpio.request_reader import IncomingRequest
 
 _logger = logging.getLogger(__name__)
 
 # Responses to earlier requests that may precede the expected one on a connection.
 _MAX_STALE_RESPONSES = 2
-# Time without a new complete event after which a stream is retried at another upstream.
-# A group that loses a rank stalls for 1.5 s; callers abandon a stream after 2 s.
-_STREAM_IDLE_TIMEOUT_S = 1.7
 # Limits for reading a body that is not forwarded. Only the head of such a response
 # matters; the body is read so that the connection can be reused.
 _MAX_DISCARDED_BYTES = 65_536
@@ -54,14 +40,6 @@
 _BROKEN_CALL_ERRORS = (OSError, InvalidResponseError, MalformedStreamError)
 
 
-class StreamMovedError(Exception):
-    """The stream is to be continued at another upstream."""
-
-
-class ResponseDeliveryError(Exception):
-    """The response cannot be delivered to the caller."""
-
-
 @dataclass(frozen=True, slots=True)
 class BufferedFailure:
     """Complete error response of an upstream, to be forwarded unchanged."""
@@ -77,32 +55,22 @@
     def __init__(
         self,
         upstream: UpstreamEntry,
-        request: IncomingRequest,
-        response_writer: ResponseWriter,
-        admitted: Admitted,
+        context: RequestContext,
         headers: HeaderList,
-        progress: Progress,
-        events: EventDeduplicator,
-        environment: Environment,
         move_requests: Mailbox[MoveStream],
     ) -> None:
-        self._move_requests = move_requests
         self._upstream = upstream
-        self._request = request
-        self._response_writer = response_writer
-        self._admitted = admitted
+        self._context = context
         self._headers = headers
-        self._progress = progress
-        self._events = events
-        self._env = environment
-        self._clock = environment.clock
+        self._move_requests = move_requests
+        self._admitted = context.admitted
+        self._progress = context.progress
+        self._env = context.environment
+        self._clock = context.environment.clock
         self._result = CallResult.ABANDONED
         self._response_metadata: ResponseMetadata | None = None
-        self._started_at = environment.clock.now()
-        self._first_event_s: float | None = None
-        self._max_event_gap_s = 0.0
-        # Complete events that this upstream sent, duplicates included.
-        self._call_events = 0
+        self._started_at = context.environment.clock.now()
+        self._stream: StreamForwarder | None = None
         self._reason = ""
         self.failure: BufferedFailure | None = None
 
@@ -139,7 +107,7 @@
     async def _exchange(
         self, connection: CallConnection, head_timeout_s: float | None
     ) -> CallOutcome:
-        request = self._request
+        request = self._context.request
         try:
             connection.send(request.method, request.target, self._headers, request.body)
         except OSError as error:
@@ -224,99 +192,21 @@
                 "success response without seal or request id, or with content encoding"
             )
         if self._admitted.route.is_stream:
-            await self._forward_stream(connection, head)
+            self._stream = StreamForwarder(
+                self._context, connection, self._move_requests, self._started_at
+            )
+            await self._stream.forward(head)
         else:
             body = await connection.receive_body()
-            self._record_first_byte()
-            await self._deliver(
-                self._response_writer.send(
+            self._context.record_first_byte()
+            await deliver(
+                self._context.response_writer.send(
                     head.status, drop_connection_fields(head.headers), body
                 )
             )
         self._set_result(CallResult.ANSWERED)
         return CallOutcome.DELIVERED
 
-    async def _forward_stream(
-        self, connection: CallConnection, head: ResponseHead
-    ) -> None:
-        parser = EventParser()
-        last_event_at = None
-        # The idle timeout runs from the first bytes of the body and restarts with new
-        # complete events. Further bytes of an incomplete event do not extend it.
-        idle_deadline: Deadline | None = None
-        while True:
-            async with asyncio.timeout(self._remaining_s(idle_deadline)):
-                chunk = await connection.receive_chunk()
-            if chunk is None:
-                break
-            if idle_deadline is None:
-                idle_deadline = deadline_after(self._clock, _STREAM_IDLE_TIMEOUT_S)
-            received = parser.feed(chunk)
-            self._call_events += len(received)
-            events = [event for event in received if self._events.accept(event)]
-            if not events:
-                continue
-            now = self._clock.now()
-            if last_event_at is None:
-                await self._start_stream(head)
-            else:
-                self._record_event_gap(now - last_event_at)
-            last_event_at = now
-            idle_deadline = deadline_after(self._clock, _STREAM_IDLE_TIMEOUT_S)
-            self._progress.can_resume = self._events.last is not None
-            await self._deliver(
-                self._response_writer.write(b"".join(e.raw for e in events))
-            )
-            await self._move_if_requested(parser)
-        if parser.has_partial_event:
-            raise InvalidResponseError("the stream ended with an incomplete event")
-        await self._start_stream(head)
-        await self._deliver(self._response_writer.finish())
-
-    def _remaining_s(self, deadline: Deadline | None) -> float | None:
-        return None if deadline is None else remaining(self._clock, deadline)
-
-    async def _move_if_requested(self, parser: EventParser) -> None:
-        move_request = self._move_requests.receive_nowait()
-        if (
-            move_request is None
-            or parser.has_partial_event
-            or not self._progress.can_move
-        ):
-            return
-        # The retry is acquired before the call is cancelled: if the budget has none
-        # left, the stream stays at this upstream.
-        if await acquire_retry(self._env.dispatcher, self._admitted.service):
-            raise StreamMovedError(move_request.reason)
-
-    async def _start_stream(self, head: ResponseHead) -> None:
-        if self._response_writer.is_started:
-            return
-        self._record_first_byte()
-        seconds = self._first_event_s = self._clock.now() - self._started_at
-        self._env.dispatcher.offer(FirstEventMeasured(self._admitted.service, seconds))
-        self._progress.has_stream_started = True
-        await self._deliver(
-            self._response_writer.start(
-                head.status, drop_connection_fields(head.headers)
-            )
-        )
-
-    def _record_first_byte(self) -> None:
-        waited_s = self._clock.now() - self._request.arrived
-        self._env.metrics.record_first_byte(self._admitted.priority, waited_s)
-
-    def _record_event_gap(self, seconds: float) -> None:
-        self._env.metrics.record_event_gap(self._admitted.priority, seconds)
-        self._max_event_gap_s = max(self._max_event_gap_s, seconds)
-        self._env.dispatcher.offer(EventGapMeasured(self._admitted.service, seconds))
-
-    async def _deliver(self, write: object) -> None:
-        try:
-            await write  # type: ignore[misc]
-        except (OSError, TimeoutError) as error:
-            raise ResponseDeliveryError(repr(error)) from None
-
     async def _discard_body(self, connection: CallConnection) -> None:
         try:
             async with asyncio.timeout(_DISCARD_TIMEOUT_S):
@@ -331,6 +221,7 @@
 
     def _report_result(self, outcome: CallOutcome, call_s: float) -> None:
         response_metadata = self._response_metadata
+        stream = self._stream
         self._env.dispatcher.offer(
             CallEnded(self._admitted.service, self._upstream.id, self._result)
         )
@@ -348,11 +239,11 @@
                 "faulty_upstream": response_metadata.faulty_upstream
                 if response_metadata
                 else "",
-                "events": self._events.count,
-                "call_events": self._call_events,
+                "events": self._context.events.count,
+                "call_events": stream.event_count if stream else 0,
                 "prompt_parts": self._admitted.metadata.shared_prompt_parts,
-                "first_event_ms": _ms(self._first_event_s),
-                "longest_pause_ms": _ms(self._max_event_gap_s),
+                "first_event_ms": _ms(stream.first_event_s if stream else None),
+                "longest_pause_ms": _ms(stream.max_event_gap_s if stream else 0.0),
                 "reason": self._reason,
                 "config_version": self._admitted.config_version,
                 "call_ms": _ms(call_s),
--- a/packages/gateway/src/sardineyard/gateway/forwarder.py
+++ b/packages/gateway/src/sardineyard/gateway/forwarder.py
@@ -12,7 +12,7 @@
 from sardineyard.core.ids import RequestId
 from sardineyard.forwarding.admission import EarlierAttemptEstimator, resolve
 from sardineyard.forwarding.messages import RequestMetadata
-from sardineyard.gateway.call import ResponseDeliveryError
+from sardineyard.gateway.context import ResponseDeliveryError
 from sardineyard.gateway.messages import RequestArrived
 from sardineyard.gateway.refusals import send_error_response
 from sardineyard.gateway.run import RequestHandler
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -20,6 +20,7 @@
 )
 from sardineyard.gateway.attempts import CallOutcome, NextAction, Progress
 from sardineyard.gateway.call import UpstreamCall
+from sardineyard.gateway.context import RequestContext
 from sardineyard.gateway.dispatcher import acquire_retry
 from sardineyard.gateway.messages import AcquireSlot, ReleaseSlot
 from sardineyard.gateway.refusals import send_error_response
@@ -67,6 +68,14 @@
         self._progress = Progress(route.retry_policy, route.max_upstreams)
         last_id = admitted.metadata.last_event_id
         self._events = EventDeduplicator(int(last_id) if last_id.isdigit() else None)
+        self._context = RequestContext(
+            request,
+            response_writer,
+            admitted,
+            self._progress,
+            self._events,
+            environment,
+        )
         self._tried_upstreams: set[str] = set()
         self._retry_after_s: float | None = None
 
@@ -178,13 +187,8 @@
         )
         return UpstreamCall(
             slot.upstream,
-            self._request,
-            self._response_writer,
-            admitted,
+            self._context,
             self._env.codec.forwarded_headers(self._request.headers, forwarded),
-            self._progress,
-            self._events,
-            self._env,
             move_requests,
         )
 
--- /dev/null
+++ b/packages/gateway/src/sardineyard/gateway/stream.py
@@ -0,0 +1,143 @@
+"""Forwarding of an event stream from one upstream to the caller."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sardineyard.core.clock import deadline_after, remaining
+from sardineyard.forwarding.events import EventParser
+from sardineyard.gateway.context import deliver
+from sardineyard.gateway.dispatcher import acquire_retry
+from sardineyard.gateway.messages import EventGapMeasured, FirstEventMeasured
+from sardineyard.httpio.call import InvalidResponseError
+from sardineyard.httpio.fields import drop_connection_fields
+
+if TYPE_CHECKING:
+    from sardineyard.core.clock import Deadline
+    from sardineyard.core.mailbox import Mailbox
+    from sardineyard.forwarding.events import StreamEvent
+    from sardineyard.gateway.context import RequestContext
+    from sardineyard.gateway.messages import MoveStream
+    from sardineyard.httpio.call import CallConnection, ResponseHead
+
+# Time without a new complete event after which a stream is retried at another upstream.
+# A group that loses a rank stalls for 1.5 s; callers abandon a stream after 2 s.
+_STREAM_IDLE_TIMEOUT_S = 1.7
+
+
+class StreamMovedError(Exception):
+    """The stream is to be continued at another upstream."""
+
+
+class StreamForwarder:
+    """Forwards the events of one call, as long as they are new to the caller."""
+
+    def __init__(
+        self,
+        context: RequestContext,
+        connection: CallConnection,
+        move_requests: Mailbox[MoveStream],
+        started_at: float,
+    ) -> None:
+        self._context = context
+        self._connection = connection
+        self._move_requests = move_requests
+        self._started_at = started_at
+        self._clock = context.environment.clock
+        self._parser = EventParser()
+        self._last_event_at: float | None = None
+        # Runs from the first bytes of the body and restarts with new complete events.
+        # Further bytes of an incomplete event do not extend it.
+        self._idle_deadline: Deadline | None = None
+        # Complete events that the upstream sent, duplicates included.
+        self.event_count = 0
+        self.first_event_s: float | None = None
+        self.max_event_gap_s = 0.0
+
+    async def forward(self, head: ResponseHead) -> None:
+        """Forward the stream to its end.
+
+        Raise StreamMovedError, TimeoutError, OSError, InvalidResponseError or
+        MalformedStreamError.
+        """
+        while (chunk := await self._receive_chunk()) is not None:
+            if self._idle_deadline is None:
+                self._restart_idle_timeout()
+            if events := self._accept(self._parser.feed(chunk)):
+                await self._forward_events(head, events)
+                await self._move_if_requested()
+        if self._parser.has_partial_event:
+            raise InvalidResponseError("the stream ended with an incomplete event")
+        await self._start_response(head)
+        await deliver(self._context.response_writer.finish())
+
+    async def _receive_chunk(self) -> bytes | None:
+        idle_deadline = self._idle_deadline
+        idle_s = (
+            None if idle_deadline is None else remaining(self._clock, idle_deadline)
+        )
+        async with asyncio.timeout(idle_s):
+            return await self._connection.receive_chunk()
+
+    def _restart_idle_timeout(self) -> None:
+        self._idle_deadline = deadline_after(self._clock, _STREAM_IDLE_TIMEOUT_S)
+
+    def _accept(self, received: list[StreamEvent]) -> list[StreamEvent]:
+        """Count the events and return those that are new to the caller."""
+        self.event_count += len(received)
+        return [event for event in received if self._context.events.accept(event)]
+
+    async def _forward_events(
+        self, head: ResponseHead, events: list[StreamEvent]
+    ) -> None:
+        now = self._clock.now()
+        if self._last_event_at is None:
+            await self._start_response(head)
+        else:
+            self._record_event_gap(now - self._last_event_at)
+        self._last_event_at = now
+        self._restart_idle_timeout()
+        context = self._context
+        context.progress.can_resume = context.events.last is not None
+        await deliver(context.response_writer.write(b"".join(e.raw for e in events)))
+
+    async def _move_if_requested(self) -> None:
+        move_request = self._move_requests.receive_nowait()
+        context = self._context
+        if (
+            move_request is None
+            or self._parser.has_partial_event
+            or not context.progress.can_move
+        ):
+            return
+        # The retry is acquired before the call is cancelled: if the budget has none
+        # left, the stream stays at this upstream.
+        if await acquire_retry(
+            context.environment.dispatcher, context.admitted.service
+        ):
+            raise StreamMovedError(move_request.reason)
+
+    async def _start_response(self, head: ResponseHead) -> None:
+        context = self._context
+        if context.response_writer.is_started:
+            return
+        context.record_first_byte()
+        seconds = self.first_event_s = self._clock.now() - self._started_at
+        context.environment.dispatcher.offer(
+            FirstEventMeasured(context.admitted.service, seconds)
+        )
+        context.progress.has_stream_started = True
+        await deliver(
+            context.response_writer.start(
+                head.status, drop_connection_fields(head.headers)
+            )
+        )
+
+    def _record_event_gap(self, seconds: float) -> None:
+        context = self._context
+        self.max_event_gap_s = max(self.max_event_gap_s, seconds)
+        context.environment.metrics.record_event_gap(context.admitted.priority, seconds)
+        context.environment.dispatcher.offer(
+            EventGapMeasured(context.admitted.service, seconds)
+        )
