--- a/packages/catalog/src/sardineyard/catalog/beacons.py
+++ b/packages/catalog/src/sardineyard/catalog/beacons.py
@@ -8,13 +8,16 @@
 
 import asyncio
 import logging
+from functools import singledispatchmethod
 from statistics import median
 from typing import TYPE_CHECKING, cast
 
 import msgspec
 
-from sardineyard.catalog.messages import PeerLoads
+from sardineyard.catalog.messages import PeerLoads, PeerStatements
 from sardineyard.core.address import parse_address
+from sardineyard.core.clock import Deadline, deadline_after
+from sardineyard.forwarding.quarantine import PeerHost, TraitStatement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +31,9 @@
 # Interval between two beacons, in seconds. Gateways that do not know each other's
 # newest requests choose the same upstream, where one of them waits for a slot.
 _BEACON_INTERVAL_S = 0.1
+# Interval in seconds at which unchanged findings are sent again, for lost datagrams and
+# for processes that have just started.
+_REPEAT_INTERVAL_S = 0.5
 # Age in seconds at which a beacon is dropped: its sender has stopped or is cut off.
 _MAX_BEACON_AGE_S = 1.0
 # Maximum size of a beacon in bytes; a gateway has requests at a few dozen upstreams.
@@ -61,6 +67,12 @@
     slowdown: float
 
 
+class TraitFindings(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Datagram with what a gateway found out about the traits of requests."""
+
+    statements: tuple[TraitStatement, ...]
+
+
 class BeaconSocket(asyncio.DatagramProtocol):
     """Owner of the socket on which a gateway sends and receives beacons."""
 
@@ -74,6 +86,7 @@
         pass_factors: Callable[[], dict[str, float]],
         versions: Callable[[], tuple[int, int]],
         on_newer_version: Callable[[str], None],
+        trait_statements: Callable[[], tuple[TraitStatement, ...]],
     ) -> None:
         self._local_address = local_address
         self._beacon_address = beacon_address
@@ -83,14 +96,22 @@
         self._pass_factors = pass_factors
         self._versions = versions
         self._on_newer_version = on_newer_version
+        self._trait_statements = trait_statements
+        self._sent_findings: set[tuple[object, object]] = set()
+        self._repeat_findings_at = Deadline(0.0)
         self._transport: asyncio.DatagramTransport | None = None
         self._received: dict[str, tuple[float, Beacon]] = {}
         self._subscribers: list[Mailbox[object]] = []
+        self._findings_subscribers: list[Mailbox[object]] = []
 
     def subscribe(self, mailbox: Mailbox[object]) -> None:
         """Add a mailbox that gets the load of the other gateways and slow upstreams."""
         self._subscribers.append(mailbox)
 
+    def subscribe_findings(self, mailbox: Mailbox[object]) -> None:
+        """Add a mailbox that gets what other gateways found out about traits."""
+        self._findings_subscribers.append(mailbox)
+
     async def run(self) -> None:
         """Send beacons and publish the load of the other gateways until cancelled."""
         loop = asyncio.get_running_loop()
@@ -102,6 +123,7 @@
             while True:
                 number += 1
                 self._send(number, started)
+                self._send_findings()
                 self._publish()
                 await asyncio.sleep(_BEACON_INTERVAL_S)
         finally:
@@ -112,21 +134,19 @@
         """Keep the transport for sending (called by asyncio)."""
         self._transport = cast("asyncio.DatagramTransport", transport)
 
-    def datagram_received(self, data: bytes, address: object) -> None:
-        """Handle a beacon or a warning of a slow upstream (called by asyncio)."""
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        """Handle one datagram (called by asyncio)."""
         try:
-            message = msgspec.msgpack.decode(data, type=Beacon | UpstreamSlow)
+            message = msgspec.msgpack.decode(
+                data, type=Beacon | UpstreamSlow | TraitFindings
+            )
         except msgspec.DecodeError as error:
             _logger.warning(
                 "ignored a malformed datagram",
                 extra={"event": "beacon_malformed", "reason": str(error)},
             )
             return
-        if isinstance(message, UpstreamSlow):
-            for subscriber in self._subscribers:
-                subscriber.offer(message)
-        else:
-            self._receive(message)
+        self._handle(message, address[0])
 
     def error_received(self, error: Exception) -> None:
         """Ignore send errors of peers that do not listen (called by asyncio)."""
@@ -134,7 +154,24 @@
             "beacon could not be delivered", extra={"event": "beacon_undelivered"}
         )
 
-    def _receive(self, beacon: Beacon) -> None:
+    @singledispatchmethod
+    def _handle(self, message: object, host: str) -> None:
+        raise TypeError(f"unexpected datagram {type(message).__name__}")
+
+    @_handle.register(UpstreamSlow)
+    def _handle_slow_upstream(self, message: UpstreamSlow, host: str) -> None:
+        for subscriber in self._subscribers:
+            subscriber.offer(message)
+
+    @_handle.register(TraitFindings)
+    def _handle_findings(self, message: TraitFindings, host: str) -> None:
+        # The host is the one that the network reports, so that a process cannot state
+        # findings in the name of others.
+        for subscriber in self._findings_subscribers:
+            subscriber.offer(PeerStatements(PeerHost(host), message.statements))
+
+    @_handle.register(Beacon)
+    def _handle_beacon(self, beacon: Beacon, host: str) -> None:
         known = self._received.get(beacon.address)
         if known is not None:
             previous = known[1]
@@ -161,12 +198,29 @@
                 self._pass_factors(),
             )
         )
+        self._send_to_peers(data)
+
+    def _send_findings(self) -> None:
+        statements = self._trait_statements()
+        findings: set[tuple[object, object]] = {
+            (statement.trait, statement.finding) for statement in statements
+        }
+        is_due = self._clock.now() >= self._repeat_findings_at
+        if not statements or (findings == self._sent_findings and not is_due):
+            return
+        self._sent_findings = findings
+        self._repeat_findings_at = deadline_after(self._clock, _REPEAT_INTERVAL_S)
+        self._send_to_peers(msgspec.msgpack.encode(TraitFindings(statements)))
+
+    def _send_to_peers(self, data: bytes) -> None:
         if len(data) > _MAX_DATAGRAM_BYTES:
             _logger.warning(
                 "beacon not sent: larger than the maximum datagram size",
                 extra={"event": "beacon_too_large", "bytes": len(data)},
             )
             return
+        if self._transport is None:
+            return
         for peer in self._peers():
             host = parse_address(peer).host
             self._transport.sendto(data, (host, self._beacon_address.port))
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -11,6 +11,7 @@
     from sardineyard.core.ids import ServiceName
     from sardineyard.core.mailbox import Reply
     from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
+    from sardineyard.forwarding.quarantine import PeerHost, TraitStatement
     from sardineyard.forwarding.store import (
         StoredConfig,
         UpstreamChanges,
@@ -113,6 +114,14 @@
     pass_factors: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class PeerStatements:
+    """Message to subscribers with what another gateway found out about traits."""
+
+    peer: PeerHost
+    statements: tuple[TraitStatement, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class DumpCatalog:
     """Request for the state of the catalog."""
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -95,6 +95,7 @@
                 lambda index=index: {"llm": 1.0 + index},
                 lambda index=index: (index, 0),
                 newer_peers.append,
+                tuple,
             )
             beacons.subscribe(mailboxes[index])
             catalog.tasks.start(host, beacons.run())
--- /dev/null
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -0,0 +1,358 @@
+"""Quarantine of requests that crash the upstreams that run them.
+
+Requests are recognised by traits, because the requests that crash upstreams may differ
+in all but one part of their prompt. Processes state their findings to each other. No
+finding of a single process makes another one refuse a trait, so a faulty process cannot
+stop sound requests.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from dataclasses import dataclass
+from enum import Enum, unique
+from hashlib import blake2b
+from typing import TYPE_CHECKING, NewType, TypeVar
+
+from sardineyard.core.clock import deadline_after, remaining
+from sardineyard.core.ids import Fingerprint
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from sardineyard.core.clock import Clock, Deadline
+    from sardineyard.core.ids import PromptPartId, ServiceName, TeamId
+
+Key = TypeVar("Key")
+Value = TypeVar("Value")
+
+# Address of the host of another process, as the network reports it.
+PeerHost = NewType("PeerHost", str)
+
+# Time for which a crash counts. After it, a trait is tried again.
+QUARANTINE_S = 600.0
+# Age up to which a success contradicts the crashes that other processes state. It is
+# short, because a part may begin to crash upstreams after it was sound.
+_RECENT_SUCCESS_S = 15.0
+# Maximum number of statements that are sent, and kept of each other process.
+MAX_STATEMENTS = 48
+_MAX_PEERS = 1_000
+_MAX_SUCCESSES = 5_000
+_MAX_CRASHES = 1_000
+_DIGEST_BYTES = 16
+
+
+@unique
+class TraitKind(Enum):
+    """What requests with a common trait share."""
+
+    PROMPT_PART = "prompt_part"
+    # Service, team, method, target, body and prompt.
+    REQUEST = "request"
+
+
+# Crashes from which a trait is refused. Every request that ran on a crashed upstream is
+# counted, whereas prompt parts with a success are not, so they need fewer crashes.
+_CRASH_LIMITS = {TraitKind.PROMPT_PART: 2, TraitKind.REQUEST: 3}
+
+
+@dataclass(frozen=True, slots=True)
+class Trait:
+    """Property by which requests are recognised."""
+
+    kind: TraitKind
+    fingerprint: Fingerprint
+
+    def __str__(self) -> str:
+        return f"{self.kind.value}:{self.fingerprint}"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """The traits of one request."""
+
+    request: Trait
+    prompt_parts: tuple[Trait, ...] = ()
+
+    def __iter__(self) -> Iterator[Trait]:
+        return iter((self.request, *self.prompt_parts))
+
+
+@unique
+class Finding(Enum):
+    """What a process found out about a trait."""
+
+    # Requests with the trait crashed upstreams, and none has succeeded since.
+    CRASHED = "crashed"
+    # A request with the trait has succeeded lately.
+    SOUND = "sound"
+    # The process refuses the trait, because of what others found.
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class TraitStatement:
+    """Finding of one process, to be sent to the others."""
+
+    trait: Trait
+    finding: Finding
+    # Seconds; clocks of two processes cannot be compared.
+    expires_in_s: float
+    # Parts that every crashing request with the trait had and that explain the crashes
+    # as well. Requests without them are not refused, and show which part it is.
+    companions: frozenset[Trait] = frozenset()
+
+
+# Refused traits, each with the parts without which a request is not refused.
+RefusedTraits = dict[Trait, frozenset[Trait]]
+
+
+def refused_trait(traits: RequestTraits, refused: RefusedTraits) -> Trait | None:
+    """Return the trait for which a request is refused, if any."""
+    own = set(traits)
+    return next((t for t in traits if t in refused and refused[t] <= own), None)
+
+
+@dataclass(slots=True)
+class _Crashes:
+    count: int
+    expires: Deadline
+    companions: frozenset[Trait]
+
+
+@dataclass(frozen=True, slots=True)
+class _Claim:
+    finding: Finding
+    expires: Deadline
+    companions: frozenset[Trait]
+
+
+def traits_of(
+    service: ServiceName,
+    team: TeamId | None,
+    method: bytes,
+    target: bytes,
+    body: bytes,
+    prompt_parts: tuple[PromptPartId, ...],
+) -> RequestTraits:
+    """Return the traits by which a request is recognised in all processes."""
+    fields = (service.encode(), (team or "").encode(), method, target, body)
+    parts = [part.encode() for part in prompt_parts]
+    return RequestTraits(
+        Trait(TraitKind.REQUEST, _fingerprint(*fields, *parts)),
+        tuple(
+            Trait(TraitKind.PROMPT_PART, _fingerprint(service.encode(), part))
+            for part in dict.fromkeys(parts)
+        ),
+    )
+
+
+def _fingerprint(*fields: bytes) -> Fingerprint:
+    # A cryptographic hash: a caller must not be able to choose a request or part that
+    # has the fingerprint of another one.
+    digest = blake2b(digest_size=_DIGEST_BYTES)
+    for field in fields:
+        digest.update(len(field).to_bytes(8))
+        digest.update(field)
+    return Fingerprint(digest.hexdigest())
+
+
+class Quarantine:
+    """Findings of this process and of its peers, and the traits refused on them."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        # Crashes that this process observed since the last success.
+        self._crashes: OrderedDict[Trait, _Crashes] = OrderedDict()
+        # Time of the last success.
+        self._successes: OrderedDict[Trait, float] = OrderedDict()
+        self._claims: OrderedDict[PeerHost, OrderedDict[Trait, _Claim]] = OrderedDict()
+
+    @property
+    def refused(self) -> RefusedTraits:
+        """Return the traits whose requests are refused."""
+        self._drop_expired()
+        return {
+            trait: self._companions(trait)
+            for trait in self.known_traits
+            if self._is_refused(trait)
+        }
+
+    @property
+    def known_traits(self) -> dict[Trait, None]:
+        """Return the traits that this or another process has a finding about."""
+        known = dict.fromkeys(self._crashes)
+        for claims in self._claims.values():
+            known |= dict.fromkeys(claims)
+        return known
+
+    def record_success(self, traits: RequestTraits) -> bool:
+        """Record that an upstream ran a request without a crash.
+
+        Return whether any process has a finding about one of its traits.
+        """
+        now = self._clock.now()
+        has_findings = False
+        for trait in traits:
+            has_finding = self._has_finding(trait)
+            has_findings = has_findings or has_finding
+            if has_finding or trait.kind is TraitKind.PROMPT_PART:
+                _put(self._successes, trait, now, _MAX_SUCCESSES)
+            if trait in self._crashes:
+                self._crashes[trait].count = 0
+        return has_findings
+
+    def record_crash(self, traits: RequestTraits) -> tuple[Trait, ...]:
+        """Record that an upstream crashed on a request; return the suspected traits."""
+        parts = self._suspected_parts(traits.prompt_parts)
+        expires = deadline_after(self._clock, QUARANTINE_S)
+        for trait in (traits.request, *parts):
+            is_part = trait.kind is TraitKind.PROMPT_PART
+            companions = frozenset(parts) - {trait} if is_part else frozenset()
+            known = self._crashes.get(trait)
+            crashes = _Crashes(1, expires, companions)
+            if known is not None and known.count > 0:
+                crashes.count += known.count
+                crashes.companions &= known.companions
+            _put(self._crashes, trait, crashes, _MAX_CRASHES)
+        return (traits.request, *parts)
+
+    def receive(self, peer: PeerHost, statements: Iterable[TraitStatement]) -> None:
+        """Record the findings of another process, which replace its earlier ones."""
+        claims = self._claims.get(peer, OrderedDict())
+        for statement in statements:
+            seconds = statement.expires_in_s
+            if 0.0 < seconds <= QUARANTINE_S:
+                expires = deadline_after(self._clock, seconds)
+                claim = _Claim(statement.finding, expires, statement.companions)
+                _put(claims, statement.trait, claim, MAX_STATEMENTS)
+        if claims:
+            _put(self._claims, peer, claims, _MAX_PEERS)
+
+    def statements(self) -> tuple[TraitStatement, ...]:
+        """Return the findings of this process, those it observed itself first."""
+        self._drop_expired()
+        own = [self._statement(trait) for trait in reversed(self._crashes)]
+        others = [
+            self._statement(trait)
+            for trait in self.known_traits
+            if trait not in self._crashes
+        ]
+        stated = [statement for statement in (*own, *others) if statement is not None]
+        return tuple(stated[:MAX_STATEMENTS])
+
+    def evidence(self, trait: Trait) -> dict[str, int]:
+        """Return the number of own crashes, and of other processes by finding."""
+        findings = self._findings(trait)
+        return {
+            "crashes": self.crash_count(trait),
+            **{f"peers_{finding.value}": findings[finding] for finding in Finding},
+        }
+
+    def crash_count(self, trait: Trait) -> int:
+        """Return the crashes that this process observed since the last success."""
+        crashes = self._crashes.get(trait)
+        return 0 if crashes is None else crashes.count
+
+    def _suspected_parts(self, parts: tuple[Trait, ...]) -> tuple[Trait, ...]:
+        """Return the parts that explain a crash best."""
+        candidates = (
+            [part for part in parts if part not in self._successes]
+            or [part for part in parts if not self._is_recent(part)]
+            or list(parts)
+        )
+        most = max(map(self._witnesses, candidates), default=0)
+        return tuple(part for part in candidates if self._witnesses(part) == most)
+
+    def _has_finding(self, trait: Trait) -> bool:
+        return trait in self._crashes or any(
+            trait in claims for claims in self._claims.values()
+        )
+
+    def _findings(self, trait: Trait) -> Counter[Finding]:
+        """Return the number of other processes with each finding."""
+        now = self._clock.now()
+        claims = (claims.get(trait) for claims in self._claims.values())
+        return Counter(
+            claim.finding
+            for claim in claims
+            if claim is not None and claim.expires > now
+        )
+
+    def _witnesses(self, trait: Trait) -> int:
+        return self.crash_count(trait) + self._findings(trait)[Finding.CRASHED]
+
+    def _is_refused(self, trait: Trait) -> bool:
+        findings = self._findings(trait)
+        witnesses = self._witnesses(trait)
+        sound = findings[Finding.SOUND] + (trait in self._successes)
+        limit = _CRASH_LIMITS[trait.kind]
+        if sound:
+            return witnesses >= limit + sound
+        # A process that has just started relies on those that refuse the trait.
+        return witnesses + findings[Finding.REFUSED] >= limit
+
+    def _companions(self, trait: Trait) -> frozenset[Trait]:
+        """Return the parts without which a request with the trait is not refused."""
+        crashes = self._crashes.get(trait)
+        known = [crashes.companions] if crashes is not None and crashes.count else []
+        for claims in self._claims.values():
+            claim = claims.get(trait)
+            if claim is not None and claim.finding is not Finding.SOUND:
+                known.append(claim.companions)
+        common = frozenset.intersection(*known) if known else frozenset()
+        return common.difference(self._successes)
+
+    def _is_recent(self, trait: Trait) -> bool:
+        succeeded_at = self._successes.get(trait)
+        return (
+            succeeded_at is not None
+            and self._clock.now() - succeeded_at < _RECENT_SUCCESS_S
+        )
+
+    def _statement(self, trait: Trait) -> TraitStatement | None:
+        crashes = self._crashes.get(trait)
+        if crashes is not None and crashes.count > 0:
+            left_s = remaining(self._clock, crashes.expires)
+            return TraitStatement(
+                trait, Finding.CRASHED, left_s, self._companions(trait)
+            )
+        if self._is_recent(trait):
+            return TraitStatement(trait, Finding.SOUND, _RECENT_SUCCESS_S)
+        if not self._is_refused(trait):
+            return None
+        # A refusal ends with the findings that it rests on.
+        expires = max(
+            claims[trait].expires
+            for claims in self._claims.values()
+            if trait in claims and claims[trait].finding is not Finding.SOUND
+        )
+        left_s = remaining(self._clock, expires)
+        return TraitStatement(trait, Finding.REFUSED, left_s, self._companions(trait))
+
+    def _drop_expired(self) -> None:
+        now = self._clock.now()
+        for trait, crashes in list(self._crashes.items()):
+            if crashes.expires <= now:
+                del self._crashes[trait]
+        for peer, claims in list(self._claims.items()):
+            for trait, claim in list(claims.items()):
+                if claim.expires <= now:
+                    del claims[trait]
+            if not claims:
+                del self._claims[peer]
+        while self._successes:
+            trait, succeeded_at = next(iter(self._successes.items()))
+            if now - succeeded_at < QUARANTINE_S:
+                return
+            del self._successes[trait]
+
+
+def _put(
+    entries: OrderedDict[Key, Value], key: Key, value: Value, capacity: int
+) -> None:
+    """Add the newest entry; drop the oldest one beyond the capacity."""
+    entries[key] = value
+    entries.move_to_end(key)
+    if len(entries) > capacity:
+        entries.popitem(last=False)
--- a/packages/forwarding/src/sardineyard/forwarding/slot_messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/slot_messages.py
@@ -13,6 +13,7 @@
     from sardineyard.core.clock import Deadline
     from sardineyard.core.ids import ServiceName
     from sardineyard.forwarding.config import UpstreamEntry
+    from sardineyard.forwarding.quarantine import Trait
 
 # Identifies a request for a slot from its arrival until the slot is released.
 TicketId = NewType("TicketId", int)
@@ -72,6 +73,13 @@
     is_late: bool
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineRefusal:
+    """A slot refused because requests with a trait of this one crash upstreams."""
+
+    trait: Trait
+
+
 @dataclass(frozen=True, slots=True)
 class SlotRefusal:
     """A refused slot, with the seconds after which the caller may retry."""
--- /dev/null
+++ b/packages/forwarding/tests/test_quarantine.py
@@ -0,0 +1,234 @@
+"""Tests of the quarantine of requests that crash upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from sardineyard.core.clock import ManualClock
+from sardineyard.core.ids import PromptPartId, ServiceName
+from sardineyard.forwarding.quarantine import (
+    MAX_STATEMENTS,
+    QUARANTINE_S,
+    Finding,
+    PeerHost,
+    Quarantine,
+    TraitStatement,
+    refused_trait,
+    traits_of,
+)
+
+if TYPE_CHECKING:
+    from sardineyard.forwarding.quarantine import (
+        RequestTraits,
+    )
+
+
+def traits(*parts: str, body: bytes = b"") -> RequestTraits:
+    """Return the traits of a request with the given shared parts of its prompt."""
+    prompt_parts = tuple(map(PromptPartId, parts))
+    return traits_of(ServiceName("llm"), None, b"POST", b"/", body, prompt_parts)
+
+
+def is_refused(quarantine: Quarantine, request: RequestTraits) -> bool:
+    """Return whether a request is refused."""
+    return refused_trait(request, quarantine.refused) is not None
+
+
+DEADLY = traits("topic", "deadly", body=b"1")
+NEIGHBOUR = traits("topic", body=b"2")
+PEERS = [PeerHost(f"10.0.0.{number}") for number in range(1, 11)]
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """Return a clock that changes only when told to."""
+    return ManualClock()
+
+
+@pytest.fixture
+def quarantine(clock: ManualClock) -> Quarantine:
+    """Return the quarantine of a process whose callers use the topic."""
+    quarantine = Quarantine(clock)
+    quarantine.record_success(NEIGHBOUR)
+    return quarantine
+
+
+def test_part_common_to_two_crashes_is_refused(quarantine: Quarantine) -> None:
+    """Guards against requests that differ in all but one part crashing upstreams."""
+    quarantine.record_crash(traits("topic", "deadly", body=b"3"))
+    assert not is_refused(quarantine, DEADLY)
+    quarantine.record_crash(traits("other", "deadly", body=b"4"))
+    assert is_refused(quarantine, DEADLY)
+    assert is_refused(quarantine, traits("deadly", body=b"5"))
+
+
+def test_neighbours_of_crashing_requests_are_not_refused(
+    quarantine: Quarantine,
+) -> None:
+    """Guards against refusing sound requests with the other parts of deadly ones."""
+    for number in range(5):
+        quarantine.record_crash(traits("topic", "deadly", body=b"%d" % number))
+    assert is_refused(quarantine, DEADLY)
+    assert not is_refused(quarantine, NEIGHBOUR)
+
+
+def test_neighbour_unknown_at_the_crash_is_released_by_its_success(
+    clock: ManualClock,
+) -> None:
+    """Guards against a new process that refuses a sound part for minutes."""
+    quarantine = Quarantine(clock)
+    quarantine.record_crash(DEADLY)
+    quarantine.record_success(NEIGHBOUR)
+    quarantine.record_crash(traits("topic", "deadly", body=b"6"))
+    assert is_refused(quarantine, DEADLY)
+    assert not is_refused(quarantine, NEIGHBOUR)
+
+
+def test_parts_that_always_crash_together_are_refused_together(
+    clock: ManualClock,
+) -> None:
+    """Guards against refusing sound requests whose parts had no success before."""
+    reporters = [Quarantine(clock) for _ in range(2)]
+    quarantine = Quarantine(clock)
+    for number, (reporter, peer) in enumerate(zip(reporters, PEERS, strict=False)):
+        reporter.record_crash(traits("topic", "deadly", body=b"%d" % number))
+        quarantine.receive(peer, reporter.statements())
+    assert is_refused(quarantine, DEADLY)
+    assert not is_refused(quarantine, NEIGHBOUR)
+    quarantine.record_success(NEIGHBOUR)
+    assert is_refused(quarantine, traits("other", "deadly"))
+
+
+def test_part_that_began_to_crash_after_successes_is_refused(
+    quarantine: Quarantine, clock: ManualClock
+) -> None:
+    """Guards against a part that stays trusted because it was sound before."""
+    quarantine.record_success(DEADLY)
+    for number in range(5):
+        clock.advance(5.0)
+        quarantine.record_success(NEIGHBOUR)
+        quarantine.record_crash(traits("topic", "deadly", body=b"%d" % number))
+    assert is_refused(quarantine, DEADLY)
+    assert not is_refused(quarantine, NEIGHBOUR)
+
+
+def test_repeated_request_is_refused_at_its_third_crash(
+    quarantine: Quarantine,
+) -> None:
+    """Guards against a request without prompt parts that crashes all upstreams."""
+    repeated = traits(body=b"same")
+    for _ in range(3):
+        assert not is_refused(quarantine, repeated)
+        quarantine.record_crash(repeated)
+    assert is_refused(quarantine, repeated)
+    assert not is_refused(quarantine, traits(body=b"other"))
+
+
+def test_success_ends_the_suspicion_of_a_repeated_request(
+    quarantine: Quarantine,
+) -> None:
+    """Guards against refusing requests that only ran beside the cause of crashes."""
+    repeated = traits(body=b"same")
+    for _ in range(6):
+        quarantine.record_crash(repeated)
+        quarantine.record_success(repeated)
+    assert not is_refused(quarantine, repeated)
+
+
+def test_crashes_of_two_processes_are_added_up(
+    quarantine: Quarantine, clock: ManualClock
+) -> None:
+    """Guards against each process waiting for crashes of its own."""
+    reporters = [Quarantine(clock) for _ in range(2)]
+    for reporter, peer in zip(reporters, PEERS, strict=False):
+        reporter.record_success(NEIGHBOUR)
+        reporter.record_crash(DEADLY)
+        assert not is_refused(quarantine, DEADLY)
+        quarantine.receive(peer, reporter.statements())
+    assert is_refused(quarantine, DEADLY)
+    assert not is_refused(quarantine, NEIGHBOUR)
+
+
+@pytest.mark.parametrize("finding", list(Finding))
+def test_one_process_alone_cannot_make_another_one_refuse_a_part(
+    quarantine: Quarantine, clock: ManualClock, finding: Finding
+) -> None:
+    """Guards against a wrong or hostile process that stops sound requests."""
+    stranger = traits("unknown")
+    for trait in (*NEIGHBOUR, *stranger):
+        for _ in range(5):
+            clock.advance(0.1)
+            statement = TraitStatement(trait, finding, QUARANTINE_S)
+            quarantine.receive(PEERS[0], [statement])
+    assert not quarantine.refused
+
+
+def test_one_process_alone_cannot_release_a_part(
+    quarantine: Quarantine, clock: ManualClock
+) -> None:
+    """Guards against a wrong or hostile process that lets crashes go on."""
+    part = DEADLY.prompt_parts[1]
+    for _ in range(3):
+        quarantine.record_crash(DEADLY)
+        quarantine.receive(PEERS[0], [TraitStatement(part, Finding.SOUND, 15.0)])
+    assert is_refused(quarantine, DEADLY)
+
+
+def test_process_that_has_just_started_refuses_what_its_peers_refuse(
+    quarantine: Quarantine, clock: ManualClock
+) -> None:
+    """Guards against new crashes after the processes that saw earlier ones restart."""
+    witnesses = [Quarantine(clock) for _ in range(2)]
+    others = [Quarantine(clock) for _ in range(2)]
+    for index, witness in enumerate(witnesses):
+        witness.record_success(NEIGHBOUR)
+        witness.record_crash(DEADLY)
+        for other in others:
+            other.receive(PEERS[index], witness.statements())
+    clock.advance(30.0)
+    restarted = Quarantine(clock)
+    for index, other in enumerate(others):
+        restarted.receive(PEERS[index + 2], other.statements())
+    assert is_refused(restarted, DEADLY)
+    assert not is_refused(restarted, NEIGHBOUR)
+
+
+def test_refusal_ends_with_the_crashes_that_it_rests_on(
+    quarantine: Quarantine, clock: ManualClock
+) -> None:
+    """Guards against processes that keep each other's refusals alive for ever."""
+    other = Quarantine(clock)
+    for process in (quarantine, other):
+        for _ in range(2):
+            process.record_crash(DEADLY)
+    for _ in range(30):
+        clock.advance(QUARANTINE_S / 20)
+        quarantine.receive(PEERS[0], other.statements())
+        other.receive(PEERS[1], quarantine.statements())
+    assert not quarantine.refused
+    assert not other.refused
+    assert quarantine.statements() == ()
+
+
+def test_findings_of_peers_are_bounded(
+    quarantine: Quarantine, clock: ManualClock
+) -> None:
+    """Guards against a process that fills the memory of others with findings."""
+    for number in range(20 * MAX_STATEMENTS):
+        trait = traits(f"p{number}").prompt_parts[0]
+        statement = TraitStatement(trait, Finding.CRASHED, 60.0)
+        quarantine.receive(PEERS[0], [statement])
+    assert len(quarantine.known_traits) <= MAX_STATEMENTS + 1
+
+
+@pytest.mark.parametrize("seconds", [float("nan"), float("inf"), -1.0, 0.0, 1e9])
+def test_findings_without_a_valid_time_are_ignored(
+    quarantine: Quarantine, seconds: float
+) -> None:
+    """Guards against findings that never expire."""
+    for peer in PEERS[:3]:
+        trait = DEADLY.prompt_parts[1]
+        quarantine.receive(peer, [TraitStatement(trait, Finding.CRASHED, seconds)])
+    assert not quarantine.refused
--- a/packages/gateway/src/sardineyard/gateway/attempts.py
+++ b/packages/gateway/src/sardineyard/gateway/attempts.py
@@ -25,6 +25,9 @@
     # The upstream ran the request and returned a complete error response.
     FAILED = "failed"
     UNKNOWN = "unknown"
+    # The upstream ended when it began to respond. The request may be the cause, so it
+    # is not sent to another one.
+    CRASHED = "crashed"
     # The call was cancelled to move its stream to another upstream; the retry budget
     # has already been charged.
     MOVED = "moved"
@@ -55,6 +58,8 @@
     has_stream_started: bool = False
     # Whether the caller has received an event after which a stream can be resumed.
     can_resume: bool = False
+    # Whether an upstream has begun to respond without a crash.
+    has_run: bool = False
 
     @property
     def can_move(self) -> bool:
@@ -73,7 +78,7 @@
 
     def next_action(self, outcome: CallOutcome) -> NextAction:
         """Return the action that follows the outcome of the last call."""
-        if outcome is CallOutcome.DELIVERED:
+        if outcome in (CallOutcome.DELIVERED, CallOutcome.CRASHED):
             return NextAction.END
         if outcome is CallOutcome.MOVED:
             return NextAction.RETRY
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -11,7 +11,12 @@
 from sardineyard.forwarding.events import MalformedStreamError
 from sardineyard.gateway.attempts import CallOutcome
 from sardineyard.gateway.context import deliver
-from sardineyard.gateway.messages import CallEnded, CallResult
+from sardineyard.gateway.messages import (
+    CallEnded,
+    CallResult,
+    RequestStarted,
+    UpstreamCrashed,
+)
 from sardineyard.gateway.stream import StreamForwarder, StreamMovedError
 from sardineyard.httpio.call import CONNECT_TIMEOUT_S, InvalidResponseError
 from sardineyard.httpio.fields import drop_connection_fields
@@ -131,7 +136,7 @@
         except _BROKEN_CALL_ERRORS as error:
             connection.close()
             self._set_result(CallResult.BROKEN, repr(error))
-            return CallOutcome.UNKNOWN
+            return await self._outcome_after_loss()
         self._response_metadata = response_metadata
         if response_metadata.is_not_run:
             progress.may_have_run = may_have_run_before
@@ -155,8 +160,29 @@
         except _BROKEN_CALL_ERRORS as error:
             connection.close()
             self._set_result(CallResult.BROKEN, repr(error))
+            return await self._outcome_after_loss()
         return CallOutcome.UNKNOWN
 
+    async def _outcome_after_loss(self) -> CallOutcome:
+        """Report a crash that the request may have caused; return the outcome."""
+        is_stream = self._admitted.route.is_stream
+        # A stream that waits for its first token has no head, and one that has an event
+        # did not crash its upstream.
+        is_starting = self._stream is not None and self._stream.event_count == 0
+        if (is_stream and not is_starting) or self._progress.has_run:
+            return CallOutcome.UNKNOWN
+        if not await self._env.connections.has_ended(self._upstream):
+            return CallOutcome.UNKNOWN
+        self._env.quarantine.offer(
+            UpstreamCrashed(
+                self._admitted.metadata.request_id,
+                self._upstream.id,
+                self._context.traits,
+            )
+        )
+        # Requests without a stream that run beside the cause cannot be told from it.
+        return CallOutcome.CRASHED if is_stream else CallOutcome.UNKNOWN
+
     async def _receive_head(
         self, connection: CallConnection
     ) -> tuple[ResponseHead, ResponseMetadata]:
@@ -198,6 +224,8 @@
             await self._stream.forward(head)
         else:
             body = await connection.receive_body()
+            self._progress.has_run = True
+            self._env.quarantine.offer(RequestStarted(self._context.traits))
             self._context.record_first_byte()
             await deliver(
                 self._context.response_writer.send(
--- a/packages/gateway/src/sardineyard/gateway/connections.py
+++ b/packages/gateway/src/sardineyard/gateway/connections.py
@@ -18,6 +18,8 @@
 # reused: the upstream may close it early.
 _IDLE_TIMEOUT_FRACTION = 0.6
 _MAX_IDLE_PER_UPSTREAM = 8
+# Connecting within a region takes 2 ms; a process that has ended refuses at once.
+_PROBE_TIMEOUT_S = 0.3
 # Memory for large response bodies, over all calls: about a fifth of the 152 MB of the
 # smallest gateway, because each body is copied once while it is forwarded.
 _MAX_BUFFERED_BYTES = 32 * 2**20
@@ -53,6 +55,17 @@
             Address(upstream.host, upstream.port), timeout_s, self._budget
         )
 
+    async def has_ended(self, upstream: UpstreamEntry) -> bool:
+        """Return whether the upstream refuses connections, as after a crash."""
+        try:
+            connection = await self.open(upstream, _PROBE_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        connection.close()
+        return False
+
     def release(self, upstream: UpstreamEntry, connection: CallConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         connection.release_buffers()
--- a/packages/gateway/src/sardineyard/gateway/context.py
+++ b/packages/gateway/src/sardineyard/gateway/context.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.events import EventDeduplicator
+    from sardineyard.forwarding.quarantine import RequestTraits
     from sardineyard.gateway.attempts import Progress
     from sardineyard.gateway.environment import Environment
     from sardineyard.httpio.acceptor import ResponseWriter
@@ -25,6 +26,7 @@
     request: IncomingRequest
     response_writer: ResponseWriter
     admitted: Admitted
+    traits: RequestTraits
     progress: Progress
     # Filters duplicates over all calls of a stream.
     events: EventDeduplicator
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -26,6 +26,7 @@
 from sardineyard.gateway.environment import Environment
 from sardineyard.gateway.forwarder import Forwarder
 from sardineyard.gateway.messages import DumpGateway
+from sardineyard.gateway.quarantine import QuarantineKeeper
 from sardineyard.httpio.acceptor import Acceptor
 from sardineyard.httpio.messages import HttpLimits
 from sardineyard.httpio.request_reader import AcceptLimits
@@ -105,6 +106,7 @@
             metrics,
         )
         self._catalog_keeper.subscribe(self._dispatcher.mailbox)
+        self._quarantine = QuarantineKeeper(clock, self._dispatcher.mailbox)
         self._beacons = BeaconSocket(
             settings.peer_address,
             settings.beacon_address,
@@ -114,13 +116,16 @@
             self._dispatcher.pass_factors,
             lambda: self._catalog_keeper.versions,
             self._peer_exchange.request_update,
+            self._quarantine.statements,
         )
         self._beacons.subscribe(self._dispatcher.mailbox)
+        self._beacons.subscribe_findings(self._quarantine.mailbox)
         self._connections = UpstreamConnections(clock)
         self._forwarder = Forwarder(
             lambda: self._catalog_keeper.config,
             Environment(
                 self._dispatcher.mailbox,
+                self._quarantine.mailbox,
                 codec,
                 self._connections,
                 clock,
@@ -163,6 +168,11 @@
         """Return the configuration in force."""
         return self._catalog_keeper.config
 
+    @property
+    def alive_peers(self) -> list[str]:
+        """Return the addresses of the peers that are not silent."""
+        return self._peer_exchange.alive
+
     @property
     def caller_port(self) -> int:
         """Return the port on which this gateway listens for callers."""
@@ -171,6 +181,7 @@
     async def start(self) -> None:
         """Start the tasks and listen on all addresses."""
         self._tasks.start("dispatcher", self._dispatcher.run())
+        self._tasks.start("quarantine", self._quarantine.run())
         watch_timing = WatchTiming(_WATCH_DURATION_S, _WATCH_DELAY_S, self._rng)
         self._catalog.start(self._tasks, watch_timing)
         address = self._settings.peer_address
@@ -240,11 +251,13 @@
             "open_requests": self._forwarder.open_requests,
             "catalog": await self._catalog.dump(),
             "gateway": await dispatcher_state.wait(),
+            "refused_traits": sorted(map(str, self._quarantine.refused)),
         }
 
     async def _render_metrics(self) -> tuple[dict[str, str], bytes]:
         self._metrics.process_state(self._state)
         self._metrics.document_in_force(self._catalog.version)
+        self._metrics.refused_traits(len(self._quarantine.refused))
         self._metrics.connections("callers", self._caller_acceptor.open_connections)
         self._metrics.connections("upstreams_idle", self._connections.idle_count)
         return self._metrics.render()
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -12,7 +12,8 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.budget import ServiceRetryBudget
 from sardineyard.forwarding.health import HealthTable
-from sardineyard.forwarding.slot_messages import SlotGrant
+from sardineyard.forwarding.quarantine import refused_trait
+from sardineyard.forwarding.slot_messages import QuarantineRefusal, SlotGrant
 from sardineyard.forwarding.slots import SlotAllocator
 from sardineyard.gateway.messages import (
     AcquireRetry,
@@ -23,6 +24,7 @@
     EventGapMeasured,
     FirstEventMeasured,
     MoveStream,
+    RefusedTraitsChanged,
     ReleaseSlot,
     RequestArrived,
 )
@@ -35,6 +37,7 @@
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.budget import BudgetRules
     from sardineyard.forwarding.config import UpstreamEntry
+    from sardineyard.forwarding.quarantine import RefusedTraits
     from sardineyard.forwarding.slot_messages import SlotRefusal, TicketId
     from sardineyard.telemetry.gateway_metrics import GatewayMetrics
 
@@ -77,6 +80,7 @@
         self._queued: dict[TicketId, AcquireSlot] = {}
         self._slot_holders: dict[TicketId, tuple[str, Mailbox[MoveStream]]] = {}
         self._gateway_count = 1
+        self._refused_traits: RefusedTraits = {}
 
     def in_flight(self) -> dict[str, int]:
         """Return the in-flight requests of this gateway by upstream."""
@@ -135,10 +139,20 @@
 
     @_handle.register(AcquireSlot)
     def _acquire_slot(self, message: AcquireSlot) -> None:
+        if self._refuse_quarantined(message):
+            return
         self._queued[message.request.ticket] = message
         self._slots.enqueue(message.request)
         self._process_queue(message.request.service)
 
+    @_handle.register(RefusedTraitsChanged)
+    def _refused_traits_changed(self, message: RefusedTraitsChanged) -> None:
+        self._refused_traits = message.traits
+        for ticket, queued in list(self._queued.items()):
+            if self._refuse_quarantined(queued):
+                del self._queued[ticket]
+                self._slots.release(ticket)
+
     @_handle.register(ReleaseSlot)
     def _release_slot(self, message: ReleaseSlot) -> None:
         self._queued.pop(message.ticket, None)
@@ -198,6 +212,23 @@
             )
         )
 
+    def _refuse_quarantined(self, message: AcquireSlot) -> bool:
+        """Refuse a request that has a refused trait; return whether it has one."""
+        trait = refused_trait(message.traits, self._refused_traits)
+        if trait is None:
+            return False
+        _logger.warning(
+            "request refused: requests with one of its traits crash upstreams",
+            extra={
+                "event": "request_quarantined",
+                "request_id": message.request_id,
+                "service": message.request.service,
+                "trait": str(trait),
+            },
+        )
+        message.reply.send(QuarantineRefusal(trait))
+        return True
+
     def _request_moves(self, upstream: str) -> None:
         """Request that streams move off a slow rank, which delays its whole group."""
         for held_upstream, move_requests in self._slot_holders.values():
--- a/packages/gateway/src/sardineyard/gateway/environment.py
+++ b/packages/gateway/src/sardineyard/gateway/environment.py
@@ -20,6 +20,7 @@
     """Dependencies that all requests of a gateway share."""
 
     dispatcher: Mailbox[object]
+    quarantine: Mailbox[object]
     codec: MessageCodec
     connections: UpstreamConnections
     clock: Clock
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -9,7 +9,9 @@
 if TYPE_CHECKING:
     from sardineyard.core.ids import RequestId, ServiceName
     from sardineyard.core.mailbox import Mailbox, Reply
+    from sardineyard.forwarding.quarantine import RefusedTraits, RequestTraits
     from sardineyard.forwarding.slot_messages import (
+        QuarantineRefusal,
         SlotGrant,
         SlotRefusal,
         SlotRequest,
@@ -55,7 +57,8 @@
 
     request_id: RequestId
     request: SlotRequest
-    reply: Reply[SlotGrant | SlotRefusal]
+    traits: RequestTraits
+    reply: Reply[SlotGrant | SlotRefusal | QuarantineRefusal]
     # Receives requests to move the stream while the slot is held.
     move_requests: Mailbox[MoveStream]
 
@@ -76,6 +79,29 @@
     result: CallResult
 
 
+@dataclass(frozen=True, slots=True)
+class RequestStarted:
+    """Report that an upstream began to respond to a request without a crash."""
+
+    traits: RequestTraits
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamCrashed:
+    """Report that an upstream ended while it ran a request."""
+
+    request_id: RequestId
+    upstream: str
+    traits: RequestTraits
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedTraitsChanged:
+    """Message to the dispatcher with all traits whose requests are refused."""
+
+    traits: RefusedTraits
+
+
 @dataclass(frozen=True, slots=True)
 class EventGapMeasured:
     """Report of the time between two events of a stream."""
--- /dev/null
+++ b/packages/gateway/src/sardineyard/gateway/quarantine.py
@@ -0,0 +1,109 @@
+"""Task that owns the quarantine: what crashes upstreams, seen here and by peers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from sardineyard.catalog.messages import PeerStatements
+from sardineyard.core.mailbox import Mailbox
+from sardineyard.forwarding.quarantine import Quarantine
+from sardineyard.gateway.messages import (
+    RefusedTraitsChanged,
+    RequestStarted,
+    UpstreamCrashed,
+)
+
+if TYPE_CHECKING:
+    from sardineyard.core.clock import Clock
+    from sardineyard.forwarding.quarantine import RefusedTraits, TraitStatement
+
+_logger = logging.getLogger(__name__)
+
+# Interval at which expired findings are looked for.
+_EXPIRY_CHECK_S = 1.0
+
+
+class QuarantineKeeper:
+    """Owner of the quarantine, which tells a subscriber which traits are refused."""
+
+    def __init__(self, clock: Clock, subscriber: Mailbox[object]) -> None:
+        self.mailbox: Mailbox[object] = Mailbox()
+        self._quarantine = Quarantine(clock)
+        self._subscriber = subscriber
+        self._refused: RefusedTraits = {}
+
+    @property
+    def refused(self) -> RefusedTraits:
+        """Return the traits whose requests are refused."""
+        return self._refused
+
+    def statements(self) -> tuple[TraitStatement, ...]:
+        """Return the findings of this process for its peers."""
+        return self._quarantine.statements()
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(_EXPIRY_CHECK_S):
+                    self._handle(await self.mailbox.receive())
+            except TimeoutError:
+                self._publish()
+
+    @singledispatchmethod
+    def _handle(self, message: object) -> None:
+        raise TypeError(f"unexpected message {type(message).__name__}")
+
+    @_handle.register(RequestStarted)
+    def _request_started(self, message: RequestStarted) -> None:
+        if self._quarantine.record_success(message.traits):
+            self._publish()
+
+    @_handle.register(UpstreamCrashed)
+    def _upstream_crashed(self, message: UpstreamCrashed) -> None:
+        suspected = self._quarantine.record_crash(message.traits)
+        _logger.warning(
+            "upstream crashed while it ran a request",
+            extra={
+                "event": "upstream_crashed",
+                "request_id": message.request_id,
+                "upstream": message.upstream,
+                "suspected": [str(trait) for trait in suspected],
+                "crashes": [self._quarantine.crash_count(t) for t in suspected],
+            },
+        )
+        self._publish()
+
+    @_handle.register(PeerStatements)
+    def _peer_statements(self, message: PeerStatements) -> None:
+        self._quarantine.receive(message.peer, message.statements)
+        self._publish()
+
+    def _publish(self) -> None:
+        refused = self._quarantine.refused
+        if refused == self._refused:
+            return
+        for trait in refused.keys() - self._refused.keys():
+            _logger.warning(
+                "refusing requests that crash upstreams",
+                extra={
+                    "event": "trait_refused",
+                    "trait": str(trait),
+                    "companions": [str(other) for other in refused[trait]],
+                    **self._quarantine.evidence(trait),
+                },
+            )
+        for trait in self._refused.keys() - refused.keys():
+            _logger.info(
+                "no longer refusing requests with a trait",
+                extra={
+                    "event": "trait_released",
+                    "trait": str(trait),
+                    **self._quarantine.evidence(trait),
+                },
+            )
+        self._refused = refused
+        self._subscriber.post(RefusedTraitsChanged(refused))
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -11,8 +11,10 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.events import EventDeduplicator
 from sardineyard.forwarding.messages import ForwardedMetadata
+from sardineyard.forwarding.quarantine import QUARANTINE_S, traits_of
 from sardineyard.forwarding.slot_messages import (
     RETRY_AFTER_FRACTION,
+    QuarantineRefusal,
     RefusalReason,
     SlotGrant,
     SlotRequest,
@@ -72,6 +74,14 @@
             request,
             response_writer,
             admitted,
+            traits_of(
+                admitted.service,
+                admitted.team,
+                request.method,
+                request.target,
+                request.body,
+                admitted.metadata.shared_prompt_parts,
+            ),
             self._progress,
             self._events,
             environment,
@@ -144,9 +154,9 @@
 
     async def _acquire_slot(
         self, ticket: TicketId, move_requests: Mailbox[MoveStream]
-    ) -> SlotGrant | SlotRefusal:
+    ) -> SlotGrant | SlotRefusal | QuarantineRefusal:
         admitted = self._admitted
-        reply: Reply[SlotGrant | SlotRefusal] = Reply()
+        reply: Reply[SlotGrant | SlotRefusal | QuarantineRefusal] = Reply()
         request = SlotRequest(
             ticket,
             admitted.service,
@@ -160,11 +170,22 @@
             self._progress.has_stream_started,
         )
         self._env.dispatcher.post(
-            AcquireSlot(admitted.metadata.request_id, request, reply, move_requests)
+            AcquireSlot(
+                admitted.metadata.request_id,
+                request,
+                self._context.traits,
+                reply,
+                move_requests,
+            )
         )
         return await reply.wait()
 
-    def _refusal_error(self, decision: SlotRefusal) -> RequestError:
+    def _refusal_error(self, decision: SlotRefusal | QuarantineRefusal) -> RequestError:
+        if isinstance(decision, QuarantineRefusal):
+            if self._progress.may_have_run:
+                return RequestError(ErrorKind.UPSTREAM_LOST, "quarantined")
+            self._retry_after_s = QUARANTINE_S
+            return RequestError(ErrorKind.QUARANTINED)
         if self._progress.may_have_run:
             return RequestError(ErrorKind.UPSTREAM_LOST, decision.reason.value)
         self._retry_after_s = decision.retry_after_s
--- a/packages/gateway/src/sardineyard/gateway/stream.py
+++ b/packages/gateway/src/sardineyard/gateway/stream.py
@@ -9,7 +9,11 @@
 from sardineyard.forwarding.events import EventParser
 from sardineyard.gateway.context import deliver
 from sardineyard.gateway.dispatcher import acquire_retry
-from sardineyard.gateway.messages import EventGapMeasured, FirstEventMeasured
+from sardineyard.gateway.messages import (
+    EventGapMeasured,
+    FirstEventMeasured,
+    RequestStarted,
+)
 from sardineyard.httpio.call import InvalidResponseError
 from sardineyard.httpio.fields import drop_connection_fields
 
@@ -85,6 +89,10 @@
 
     def _accept(self, received: list[StreamEvent]) -> list[StreamEvent]:
         """Count the events and return those that are new to the caller."""
+        if received and self.event_count == 0:
+            context = self._context
+            context.progress.has_run = True
+            context.environment.quarantine.offer(RequestStarted(context.traits))
         self.event_count += len(received)
         return [event for event in received if self._context.events.accept(event)]
 
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from sardineyard.catalog.beacons import UpstreamSlow
+from sardineyard.catalog.beacons import TraitFindings, UpstreamSlow
 from sardineyard.core.address import Address
 from sardineyard.core.clock import SystemClock
 from sardineyard.core.ids import FailureDomain, ServiceName, TeamId
@@ -36,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from sardineyard.forwarding.quarantine import TraitStatement
     from sardineyard.standins.gateway_doubles import (
         UpstreamConnection,
     )
@@ -43,6 +44,13 @@
 SERVICE = ServiceName("desk")
 
 
+def free_port(kind: int) -> int:
+    """Return a port that no socket of the kind uses."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
 def route(prefix: str, retry_policy: RetryPolicy, **fields: Any) -> Route:
     """Return a route with a path prefix."""
     values: dict[str, Any] = {
@@ -79,16 +87,15 @@
 class Client:
     """HTTP/1.1 client with one connection."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, host: str = "127.0.0.1") -> None:
         self._port = port
+        self._host = host
         self.reader: asyncio.StreamReader
         self.writer: asyncio.StreamWriter
 
     async def connect(self) -> Client:
         """Open the connection."""
-        self.reader, self.writer = await asyncio.open_connection(
-            "127.0.0.1", self._port
-        )
+        self.reader, self.writer = await asyncio.open_connection(self._host, self._port)
         return self
 
     def send(
@@ -141,31 +148,39 @@
 class GatewayHarness:
     """Gateway under test with its store and its upstreams."""
 
-    def __init__(self) -> None:
-        self.store = MemoryStore()
+    def __init__(
+        self,
+        store: MemoryStore | None = None,
+        host: str = "127.0.0.1",
+        peer_ports: tuple[int, int] | None = None,
+        seeds: tuple[Address, ...] = (),
+    ) -> None:
+        self.store = store or MemoryStore()
+        self.host = host
         self.upstreams: dict[str, ScriptedUpstream] = {}
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.beacon_port = int(probe.getsockname()[1])
-        settings = GatewaySettings(
+        peer_port, self.beacon_port = peer_ports or (0, free_port(socket.SOCK_DGRAM))
+        self._settings = GatewaySettings(
             process="gateway-1",
             failure_domain="a",
             log_level="info",
-            admin_address=Address("127.0.0.1", 0),
-            store_address=Address("127.0.0.1", 0),
-            seed_peers=(),
+            admin_address=Address(host, 0),
+            store_address=Address(host, 0),
+            seed_peers=seeds,
             drain_timeout_s=4.0,
-            caller_address=Address("127.0.0.1", 0),
-            ready_address=Address("127.0.0.1", 0),
-            peer_address=Address("127.0.0.1", 0),
-            beacon_address=Address("127.0.0.1", self.beacon_port),
+            caller_address=Address(host, 0),
+            ready_address=Address(host, 0),
+            peer_address=Address(host, peer_port),
+            beacon_address=Address(host, self.beacon_port),
             max_connections=50,
             repeat_ratio=0.2,
             repeat_extra=20.0,
             repeat_window_s=10.0,
         )
-        self.daemon = GatewayDaemon(
-            settings,
+        self.daemon = self._new_daemon()
+
+    def _new_daemon(self) -> GatewayDaemon:
+        return GatewayDaemon(
+            self._settings,
             SystemClock(),
             self.store,
             PlainHeaders(),
@@ -188,6 +203,12 @@
             while config is not None and not self.daemon.is_ready:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
+    async def restart(self) -> None:
+        """Replace the gateway by a new one, as after the end of its process."""
+        await self.daemon.close()
+        self.daemon = self._new_daemon()
+        await self.start(config=None)
+
     async def add_upstream(
         self, id: str, script: Callable[[UpstreamConnection], Awaitable[None]]
     ) -> None:
@@ -207,6 +228,13 @@
             )
         )
 
+    def state_findings(self, host: str, *statements: TraitStatement) -> None:
+        """Send the datagram by which the gateway of a host states its findings."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.bind((host, 0))
+            data = msgspec.msgpack.encode(TraitFindings(statements))
+            sender.sendto(data, (self.host, self.beacon_port))
+
     def report_slow(self, port: int, slowdown: float) -> None:
         """Send the datagram by which a rebalancer reports its upstream as slow."""
         report = UpstreamSlow("127.0.0.1", port, slowdown)
@@ -216,7 +244,7 @@
 
     async def client(self) -> Client:
         """Return a connected client."""
-        return await Client(self.daemon.caller_port).connect()
+        return await Client(self.daemon.caller_port, self.host).connect()
 
     async def close(self) -> None:
         """Stop everything."""
@@ -225,6 +253,35 @@
             upstream.close()
 
 
+@pytest.fixture
+def run_with_fleet() -> Callable[
+    [int, Callable[[list[GatewayHarness]], Awaitable[None]]], None
+]:
+    """Return a function that runs an asynchronous test with gateways that are peers."""
+
+    def run(
+        count: int, test: Callable[[list[GatewayHarness]], Awaitable[None]]
+    ) -> None:
+        async def run_test() -> None:
+            store = MemoryStore()
+            ports = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_DGRAM)
+            seeds = (Address("127.0.0.1", ports[0]),)
+            harnesses = [
+                GatewayHarness(store, f"127.0.0.{number}", ports, seeds)
+                for number in range(1, count + 1)
+            ]
+            try:
+                async with asyncio.timeout(30.0):
+                    await test(harnesses)
+            finally:
+                for harness in harnesses:
+                    await harness.close()
+
+        asyncio.run(run_test())
+
+    return run
+
+
 @pytest.fixture
 def run_with_gateway() -> Callable[[Callable[[GatewayHarness], Awaitable[None]]], None]:
     """Return a function that runs an asynchronous test with a new gateway."""
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -100,19 +100,23 @@
     run_with_gateway: RunWithGateway,
 ) -> None:
     """Guards against a booking that runs at two upstreams."""
-    seen: list[Any] = []
+    received: list[Any] = []
+
+    async def receive_and_reset(connection: UpstreamConnection) -> None:
+        # A connection without a request checks whether the upstream has crashed.
+        if (request := await connection.receive()) is not None:
+            received.append(request)
+        connection.reset()
 
     async def test(harness: Any) -> None:
-        await harness.start(
-            record_connections(reset, seen), record_connections(reset, seen)
-        )
+        await harness.start(receive_and_reset, receive_and_reset)
         client = await harness.client()
         status, headers, _ = await client.request("/book/", method="POST", body=b"x")
         assert status == 502
         assert "retry-after" not in headers
 
     run_with_gateway(test)
-    assert len(seen) == 1
+    assert len(received) == 1
 
 
 def test_rejected_request_is_reported_as_not_run(
--- /dev/null
+++ b/packages/gateway/tests/test_quarantine.py
@@ -0,0 +1,223 @@
+"""End-to-end tests of requests that crash the upstreams that run them."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from sardineyard.core.ids import PromptPartId, ServiceName
+from sardineyard.forwarding.quarantine import Finding, TraitStatement, traits_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardineyard.standins.gateway_doubles import (
+        ReceivedRequest,
+        UpstreamConnection,
+    )
+
+    RunWithGateway = Callable[..., None]
+
+
+class CrashingUpstreams:
+    """Upstreams that crash when they begin to respond to a deadly request."""
+
+    def __init__(self, is_deadly: Callable[[ReceivedRequest], bool]) -> None:
+        self._is_deadly = is_deadly
+        self._numbers = count(1)
+        self.crashes = 0
+        self.deadly_requests = 0
+
+    async def add(self, harness: Any) -> None:
+        """Start an upstream that is replaced by another one after its crash."""
+        id = f"u{next(self._numbers)}"
+
+        async def script(connection: UpstreamConnection) -> None:
+            while request := await connection.receive():
+                is_stream = b" /stream/" in request.head
+                if self._is_deadly(request):
+                    self.deadly_requests += 1
+                    harness.upstreams[id].close()
+                    if is_stream:
+                        connection.start_stream(request)
+                        await connection.writer.drain()
+                        await asyncio.sleep(0.02)
+                    connection.writer.close()
+                    await harness.store.remove_upstream(id)
+                    self.crashes += 1
+                    await self.add(harness)
+                    return
+                connection.send_response(
+                    request, b"id: 1\ndata: a\n\n" if is_stream else b"ok"
+                )
+
+        await harness.add_upstream(id, script)
+
+
+def has_deadly_part(request: ReceivedRequest) -> bool:
+    """Return whether a request has the part that crashes upstreams."""
+    return "deadly" in request.header("x-parts").split()
+
+
+@pytest.fixture
+def upstreams() -> CrashingUpstreams:
+    """Return upstreams that one part of a prompt crashes."""
+    return CrashingUpstreams(has_deadly_part)
+
+
+def crashed(part: str) -> TraitStatement:
+    """Return the statement that requests with a part crashed upstreams."""
+    parts = (PromptPartId(part),)
+    traits = traits_of(ServiceName("desk"), None, b"", b"", b"", parts)
+    return TraitStatement(traits.prompt_parts[0], Finding.CRASHED, 60.0)
+
+
+async def start_fleet(fleet: list[Any], upstreams: CrashingUpstreams) -> None:
+    """Start upstreams and gateways, and wait until the gateways know each other."""
+    for _ in range(3):
+        await upstreams.add(fleet[0])
+    for harness in fleet:
+        await harness.start()
+    async with asyncio.timeout(15.0):
+        while any(len(h.daemon.alive_peers) < len(fleet) - 1 for h in fleet):  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+async def send(harness: Any, target: str, parts: str, body: bytes) -> int:
+    """Send a request with the given shared parts of its prompt; return the status."""
+    client = await harness.client()
+    response = await client.request(
+        target, f"x-parts: {parts}", method="POST", body=body
+    )
+    client.writer.close()
+    return int(response[0])
+
+
+def test_part_that_crashes_upstreams_is_refused_and_its_neighbours_are_served(
+    run_with_gateway: RunWithGateway, upstreams: CrashingUpstreams
+) -> None:
+    """Guards against requests with one part in common that end all upstreams."""
+
+    async def test(harness: Any) -> None:
+        for _ in range(3):
+            await upstreams.add(harness)
+        await harness.start()
+        statuses = []
+        for number in range(8):
+            body = b"%d" % number
+            assert await send(harness, "/stream/", "topic", body) == 200
+            statuses.append(await send(harness, "/stream/", "topic deadly", body))
+        assert statuses == [502] * 2 + [422] * 6
+        assert await send(harness, "/stream/", "topic", b"last") == 200
+
+    run_with_gateway(test)
+    assert upstreams.crashes == upstreams.deadly_requests == 2
+
+
+def test_repeated_request_that_crashes_upstreams_is_refused(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against one request, sent again and again, that ends all upstreams."""
+    upstreams = CrashingUpstreams(lambda request: request.body == b"deadly")
+
+    async def test(harness: Any) -> None:
+        for _ in range(3):
+            await upstreams.add(harness)
+        await harness.start()
+        statuses = [await send(harness, "/read/", "", b"deadly") for _ in range(5)]
+        assert statuses[-2:] == [422, 422]
+        # Until then the ended upstreams are still listed.
+        await asyncio.sleep(0.5)
+        assert await send(harness, "/read/", "", b"sound") == 200
+
+    run_with_gateway(test)
+    assert upstreams.deadly_requests == 3
+
+
+def test_request_that_waits_for_a_slot_is_refused_once_its_part_is(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against holding a request until its deadline that will not be sent."""
+
+    async def test(harness: Any) -> None:
+        await harness.start(hang)
+        # The upstream has four slots and queues two requests.
+        holders = [await harness.client() for _ in range(6)]
+        for client in holders:
+            client.send("/stream/", "x-parts: topic", method="POST", body=b"held")
+        await asyncio.sleep(0.1)
+        waiting = asyncio.ensure_future(send(harness, "/stream/", "deadly", b"w"))
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+        for host in ("127.0.0.8", "127.0.0.9"):
+            harness.state_findings(host, crashed("deadly"))
+        async with asyncio.timeout(0.5):
+            assert await waiting == 422
+
+    run_with_gateway(test)
+
+
+def test_gateways_refuse_what_crashed_upstreams_of_others(
+    run_with_fleet: Callable[..., None], upstreams: CrashingUpstreams
+) -> None:
+    """Guards against each gateway losing upstreams to the same part."""
+
+    async def test(fleet: list[Any]) -> None:
+        await start_fleet(fleet, upstreams)
+        for number, harness in enumerate(fleet[:2]):
+            body = b"%d" % number
+            assert await send(harness, "/stream/", "topic deadly", body) == 502
+        await asyncio.sleep(0.8)
+        for harness in fleet:
+            assert await send(harness, "/stream/", "topic deadly", b"again") == 422
+            assert await send(harness, "/stream/", "topic", b"sound") == 200
+
+    run_with_fleet(4, test)
+    assert upstreams.crashes == 2
+
+
+def test_refusal_outlives_a_restart_of_the_gateways_that_saw_the_crashes(
+    run_with_fleet: Callable[..., None], upstreams: CrashingUpstreams
+) -> None:
+    """Guards against new crashes after the gateways that saw the first ones restart."""
+
+    async def test(fleet: list[Any]) -> None:
+        await start_fleet(fleet, upstreams)
+        for number, harness in enumerate(fleet[:2]):
+            await send(harness, "/stream/", "topic deadly", b"%d" % number)
+        await asyncio.sleep(0.8)
+        for harness in fleet[:2]:
+            await harness.restart()
+        await asyncio.sleep(2.5)
+        for harness in fleet:
+            assert await send(harness, "/stream/", "topic deadly", b"again") == 422
+            assert await send(harness, "/stream/", "topic", b"sound") == 200
+
+    run_with_fleet(4, test)
+    assert upstreams.crashes == 2
+
+
+def test_hostile_gateway_cannot_make_the_others_refuse_a_part(
+    run_with_fleet: Callable[..., None], upstreams: CrashingUpstreams
+) -> None:
+    """Guards against one wrong or hostile process that stops sound requests."""
+
+    async def test(fleet: list[Any]) -> None:
+        await start_fleet(fleet, upstreams)
+        for _ in range(5):
+            for harness in fleet:
+                harness.state_findings("127.0.0.9", crashed("topic"))
+            await asyncio.sleep(0.1)
+        for harness in fleet:
+            assert await send(harness, "/stream/", "topic", b"sound") == 200
+
+    run_with_fleet(3, test)
+
+
+async def hang(connection: UpstreamConnection) -> None:
+    """Read a request and never respond."""
+    await connection.receive()
+    await asyncio.Event().wait()
--- a/packages/rebalancer/tests/test_local_rank.py
+++ b/packages/rebalancer/tests/test_local_rank.py
@@ -57,6 +57,7 @@
             dict,
             lambda: (0, 0),
             lambda _: None,
+            tuple,
         )
         beacons.subscribe(received)
         counts = CountsSocket(
--- a/packages/telemetry/src/sardineyard/telemetry/gateway_metrics.py
+++ b/packages/telemetry/src/sardineyard/telemetry/gateway_metrics.py
@@ -39,6 +39,9 @@
         self._store_calls = self._counter(
             "store_calls_total", "Calls to the platform's store by kind."
         )
+        self._refused_traits = self._gauge(
+            "gateway_refused_traits", "Traits refused because they crash upstreams."
+        )
         self._connections = self._gauge(
             "gateway_connections", "Open connections by side."
         )
@@ -81,6 +84,10 @@
         """Count a call to the platform's store."""
         self._store_calls.inc({"kind": kind})
 
+    def refused_traits(self, count: int) -> None:
+        """Set the number of traits whose requests are refused."""
+        self._refused_traits.set({}, count)
+
     def connections(self, side: str, count: int) -> None:
         """Set the number of open connections to callers or upstreams."""
         self._connections.set({"side": side}, count)
