Do not believe a second copy of a refusal

What callers saw: 503, "not run", for a request that a runner had run or was running, when a runner wrote an earlier refusal once more on a kept connection. Requests that must run at most once were not affected: each of their calls opens a connection of its own.

Cause: a response is matched by the id of the request, which stays the same over its attempts, and a response without an id was taken too. So a copy of the refusal of the first attempt passed as the response to the second one on the same connection, and a copy without an id as the response to any request.

Change: a retry opens a new connection, and a response without an id is accepted only on the first exchange of a connection.

Tests: test_earlier_refusal_is_not_taken_as_the_response_to_a_retry and test_refusal_without_an_id_is_not_taken_for_the_next_request fail before with 503. The reset of the scripted upstreams sends a real reset now; it sent a regular end of the connection.

--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -97,8 +97,11 @@
 
     async def _connect(self) -> CallConnection | None:
         # The upstream may have closed an idle connection, which shows only after the
-        # request was sent. Requests that must not be retried use a new connection.
-        if self._admitted.route.retry_policy is not RetryPolicy.AT_MOST_ONCE:
+        # request was sent. Requests that must not be retried use a new connection, and
+        # so do retries: a second copy of the response to the last attempt, which has
+        # the same id, may still arrive on the connection of that attempt.
+        may_reuse = self._admitted.route.retry_policy is not RetryPolicy.AT_MOST_ONCE
+        if may_reuse and self._progress.sent_attempts == 0:
             idle = self._env.connections.take_idle(self._upstream)
             if idle is not None:
                 return idle
@@ -190,8 +193,14 @@
         for _ in range(_MAX_STALE_RESPONSES + 1):
             head = await connection.receive_head()
             response_metadata = self._env.codec.read_response(head.status, head.headers)
-            if response_metadata.request_id in (expected_id, ""):
+            if response_metadata.request_id == expected_id:
                 return head, response_metadata
+            if not response_metadata.request_id:
+                if connection.is_first_exchange:
+                    return head, response_metadata
+                raise InvalidResponseError(
+                    "response without an id on a used connection"
+                )
             await connection.receive_body(_MAX_DISCARDED_BYTES)
             connection.expect_next_response()
         raise InvalidResponseError("received only responses to other requests")
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import socket
 from typing import TYPE_CHECKING, Any
 
@@ -105,9 +106,9 @@
         lines = [
             f"{method} {target} HTTP/1.1",
             "host: desk.example",
+            *headers,
             "x-id: r1",
             "x-key: key",
-            *headers,
         ]
         if body:
             lines.append(f"content-length: {len(body)}")
@@ -124,7 +125,7 @@
         """Return the next response; raise IncompleteReadError if it is truncated."""
         status, headers = await self.read_response_head()
         if headers.get("transfer-encoding") == "chunked":
-            return status, headers, await self._read_chunked_body()
+            return status, headers, await self.read_chunked_body()
         length = int(headers.get("content-length", "0"))
         return status, headers, await self.reader.readexactly(length)
 
@@ -136,7 +137,8 @@
         async with asyncio.timeout(8.0):
             return await self.read_response()
 
-    async def _read_chunked_body(self) -> bytes:
+    async def read_chunked_body(self) -> bytes:
+        """Return the rest of a chunked body."""
         body = b""
         while size := int(await self.reader.readuntil(b"\r\n"), 16):
             body += await self.reader.readexactly(size)
@@ -192,8 +194,14 @@
         self,
         *scripts: Callable[[UpstreamConnection], Awaitable[None]],
         config: Any = CONFIG,
+        repeat_extra: float | None = None,
     ) -> None:
         """Start the gateway and one upstream for each script."""
+        if repeat_extra is not None:
+            self._settings = dataclasses.replace(
+                self._settings, repeat_extra=repeat_extra, repeat_ratio=0.0
+            )
+            self.daemon = self._new_daemon()
         if config is not None:
             await self.store.put_config(config)
         for index, script in enumerate(scripts):
@@ -253,6 +261,12 @@
             upstream.close()
 
 
+@pytest.fixture
+def config() -> ForwardingConfig:
+    """Return the configuration that gateways start with."""
+    return CONFIG
+
+
 @pytest.fixture
 def run_with_fleet() -> Callable[
     [int, Callable[[list[GatewayHarness]], Awaitable[None]]], None
--- /dev/null
+++ b/packages/gateway/tests/test_faulty_upstreams.py
@@ -0,0 +1,210 @@
+"""Tests of upstreams that answer twice, end early, stall or answer with an error."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from sardineyard.forwarding.config import RetryPolicy
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sardineyard.standins.gateway_doubles import (
+        ReceivedRequest,
+        UpstreamConnection,
+    )
+
+    Script = Callable[[UpstreamConnection], Awaitable[None]]
+    RunWithGateway = Callable[[Callable[[Any], Awaitable[None]]], None]
+
+
+def send_refusal(connection: UpstreamConnection, *lines: str) -> None:
+    """Send the response that a request was not run."""
+    connection.send_head(
+        "HTTP/1.1 503 Busy", "x-not-run: 1", "content-length: 0", *lines
+    )
+
+
+def start_unframed_stream(
+    connection: UpstreamConnection, request: ReceivedRequest
+) -> None:
+    """Send the head of a stream that has no length and ends with its connection."""
+    connection.send_head(
+        "HTTP/1.1 200 OK",
+        f"x-id: {request.header('x-id')}",
+        "x-seal: s",
+        "content-type: text/event-stream",
+        "connection: close",
+    )
+
+
+async def send_first_event_and_break_off(
+    connection: UpstreamConnection, request: ReceivedRequest
+) -> None:
+    """Send the first event of a stream and reset the connection."""
+    connection.start_stream(request)
+    connection.send_event(1)
+    await connection.writer.drain()
+    await asyncio.sleep(0.05)
+    connection.reset()
+
+
+def test_earlier_refusal_is_not_taken_as_the_response_to_a_retry(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against a caller who is told "not run" about a request that runs."""
+    refused: list[Any] = []
+
+    async def refuse_twice(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        assert request is not None
+        if refused:
+            connection.send_response(request)
+            await connection.writer.drain()
+            return
+        refused.append(request)
+        send_refusal(connection, "x-id: r1")
+        await connection.writer.drain()
+        if await connection.receive() is not None:
+            send_refusal(connection, "x-id: r1")
+
+    async def test(harness: Any) -> None:
+        await harness.start(refuse_twice)
+        client = await harness.client()
+        assert (await client.request("/read/"))[0] == 200
+
+    run_with_gateway(test)
+
+
+def test_refusal_without_an_id_is_not_taken_for_the_next_request(
+    run_with_gateway: RunWithGateway, config: Any
+) -> None:
+    """Guards against a late second refusal on a connection that is used again."""
+
+    async def serve_then_refuse(connection: UpstreamConnection) -> None:
+        first = await connection.receive()
+        assert first is not None
+        connection.send_response(first)
+        await connection.writer.drain()
+        if (request := await connection.receive()) is not None:
+            send_refusal(connection)
+            connection.send_response(request)
+            await connection.writer.drain()
+
+    async def test(harness: Any) -> None:
+        routes = (dataclasses.replace(config.routes[0], max_upstreams=1),)
+        await harness.start(
+            serve_then_refuse,
+            config=dataclasses.replace(config, routes=routes),
+        )
+        client = await harness.client()
+        assert (await client.request("/read/", "x-id: r1"))[0] == 200
+        # Whether the upstream ran the request is not known.
+        assert (await client.request("/read/", "x-id: r2"))[0] == 502
+
+    run_with_gateway(test)
+
+
+@pytest.mark.parametrize("ends", ["finish", "reset"])
+def test_response_without_length_is_complete_only_at_a_regular_end(
+    run_with_gateway: RunWithGateway, ends: str
+) -> None:
+    """Guards against a body that is cut and delivered as a complete one."""
+
+    async def send_without_length(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        if request is None:
+            return
+        connection.send_head(
+            "HTTP/1.1 200 OK",
+            f"x-id: {request.header('x-id')}",
+            "x-seal: s",
+            body=b"ok",
+        )
+        await connection.writer.drain()
+        await asyncio.sleep(0.05)
+        if ends == "reset":
+            connection.reset()
+
+    async def test(harness: Any) -> None:
+        await harness.start(send_without_length)
+        client = await harness.client()
+        status, _, body = await client.request("/book/", method="POST", body=b"x")
+        assert (status, body == b"ok") == (
+            (200, True) if ends == "finish" else (502, False)
+        )
+
+    run_with_gateway(test)
+
+
+def with_stream_route(harness_config: Any, **fields: Any) -> Any:
+    """Return a configuration whose route of streams has other values."""
+    routes = tuple(
+        dataclasses.replace(route, **fields) if route.is_stream else route
+        for route in harness_config.routes
+    )
+    return dataclasses.replace(harness_config, routes=routes)
+
+
+def test_stalled_stream_with_single_bytes_ends_at_its_deadline(
+    run_with_gateway: RunWithGateway, config: Any
+) -> None:
+    """Guards against streams that never end because a byte comes now and then."""
+
+    async def send_single_bytes(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        assert request is not None
+        connection.start_stream(request)
+        connection.send_event(1)
+        while True:
+            connection.send_chunk(b"x")
+            await connection.writer.drain()
+            await asyncio.sleep(0.05)
+
+    async def test(harness: Any) -> None:
+        fields = {"retry_policy": RetryPolicy.AT_MOST_ONCE, "timeout_s": 1.0}
+        await harness.start(
+            send_single_bytes, config=with_stream_route(config, **fields)
+        )
+        client = await harness.client()
+        client.send("/stream/")
+        async with asyncio.timeout(1.5):
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await client.read_response()
+
+    run_with_gateway(test)
+
+
+def test_stream_of_an_upstream_that_is_no_longer_listed_goes_on(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against giving up work of a VM that is only silent for a while."""
+    requests: list[Any] = []
+
+    async def send_events(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        assert request is not None
+        requests.append(request)
+        connection.start_stream(request)
+        for number in range(1, 11):
+            connection.send_event(number)
+            await connection.writer.drain()
+            await asyncio.sleep(0.1)
+        connection.send_chunk(b"")
+
+    async def test(harness: Any) -> None:
+        await harness.start(send_events, send_events)
+        client = await harness.client()
+        client.send("/stream/")
+        assert (await client.read_response_head())[0] == 200
+        for id in ("u0", "u1"):
+            await harness.store.remove_upstream(id)
+        body = await client.read_chunked_body()
+        assert body.count(b"data: ") == 10
+
+    run_with_gateway(test)
+    assert len(requests) == 1
--- a/packages/httpio/src/sardineyard/httpio/call.py
+++ b/packages/httpio/src/sardineyard/httpio/call.py
@@ -52,6 +52,7 @@
         self._request: h11.Request | None = None
         self._body = b""
         self._keep_alive_s: float | None = None
+        self._request_count = 0
         self.has_received_bytes = False
 
     @classmethod
@@ -73,6 +74,11 @@
         """Return the idle timeout in seconds that the server last announced."""
         return self._keep_alive_s
 
+    @property
+    def is_first_exchange(self) -> bool:
+        """Return whether the connection has carried no other request before."""
+        return self._request_count <= 1
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the last exchange is complete and no more bytes arrived."""
@@ -104,6 +110,7 @@
         self.has_received_bytes = False
         self._request = h11.Request(method=method, target=target, headers=fields)
         self._body = body
+        self._request_count += 1
         self._stream.write(self._encode())
 
     async def receive_head(self) -> ResponseHead:
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -34,6 +36,10 @@
     )
 
 
+# Linger time of zero seconds.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
 class MemoryStore:
     """In-memory configuration and upstreams; implements CatalogStore."""
 
@@ -249,7 +255,9 @@
         self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
 
     def reset(self) -> None:
-        """Reset the connection."""
+        """Reset the connection, so that its end is no regular one."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.writer.transport.abort()
 
 
