Forward only events as parts of a stream

What callers saw: after a stream had begun and broken off, the text of the next runner's error in the middle of their stream, which then ended as if it were complete; and the head of a second response as part of a stream that has no length.

Cause: whatever stands between two blank lines was an event, and the media type of a response was not looked at.

Change: each line of an event must be a comment or a field, and one of them a field of an event; a response to a request for a stream that names another media type is invalid. Both end the call as broken, so the stream is continued elsewhere or cut, never completed.

Responses with an error status were not forwarded before either; the tests keep that.

--- a/packages/forwarding/src/sardineyard/forwarding/events.py
+++ b/packages/forwarding/src/sardineyard/forwarding/events.py
@@ -7,6 +7,12 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _MAX_EVENT_END_BYTES = 4
+# A line is a comment or a field name, with or without a value. Error texts and heads of
+# other responses have lines that are neither.
+_LINE = re.compile(rb"(?:[\w.-]*:.*|[\w.-]+)?", re.DOTALL)
+# Fields of an event, and comments. An event without any of them carries nothing.
+_EVENT_LINE = re.compile(rb"(?:data|id|event|retry)?:|(?:data|id|event|retry)$")
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 # An event holds a few tokens, some hundred bytes. With this limit, 500 streams whose
 # events never end take 32 MB of a gateway's memory.
 _MAX_EVENT_BYTES = 65_536
@@ -46,6 +52,7 @@
         for end in _EVENT_END.finditer(self._buffer, searched):
             raw = self._buffer[start : end.end()]
             start = end.end()
+            _check(raw)
             events.append(StreamEvent(raw, _number(raw)))
         self._buffer = self._buffer[start:]
         if len(self._buffer) > _MAX_EVENT_BYTES:
@@ -53,6 +60,15 @@
         return events
 
 
+def _check(raw: bytes) -> None:
+    """Raise MalformedStreamError if the bytes are no event."""
+    lines = raw.removeprefix(_BYTE_ORDER_MARK).splitlines()
+    if not all(map(_LINE.fullmatch, lines)):
+        raise MalformedStreamError("bytes of the stream are no event")
+    if any(lines) and not any(map(_EVENT_LINE.match, lines)):
+        raise MalformedStreamError("event without a field of an event")
+
+
 def _number(raw: bytes) -> int | None:
     for line in raw.splitlines():
         name, _, value = line.partition(b":")
--- a/packages/forwarding/tests/test_events.py
+++ b/packages/forwarding/tests/test_events.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from sardineyard.forwarding.events import EventDeduplicator, EventParser
+from sardineyard.forwarding.events import (
+    EventDeduplicator,
+    EventParser,
+    MalformedStreamError,
+)
 
 
 @pytest.mark.parametrize("size", [1, 2, 7, 100])
@@ -34,3 +38,40 @@
     (event,) = parser.feed(b": keep-alive\n\n")
     assert deduplicator.accept(event)
     assert deduplicator.last is None
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 503 Busy\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n",
+        b"upstream is out of memory\n\n",
+        b'{"error": "full"}\n\n',
+        b"<html>\n\n",
+        b"error\n\n",
+        b"content-length: 5\n\n",
+    ],
+)
+def test_bytes_that_are_no_event_are_not_taken_as_one(data: bytes) -> None:
+    """Guards against an error text or another response in the middle of a stream."""
+    parser = EventParser()
+    assert len(parser.feed(b"id: 1\ndata: a\n\n")) == 1
+    with pytest.raises(MalformedStreamError):
+        parser.feed(data)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b": comment\n\n",
+        b"data\n\n",
+        b"\xef\xbb\xbfdata: a\n\n",
+        b'x-sardineyard-weight-versions: 3\nid: 4\ndata: {"a": 1}\n\n',
+        b"event: done\r\ndata: HTTP/1.1 is a protocol\r\ndata:\r\n\r\n",
+        b"id: 7\rdata: a b c\r\r",
+        b"retry: 100\n\n",
+        b"\n\n",
+    ],
+)
+def test_all_forms_of_events_are_accepted(data: bytes) -> None:
+    """Guards against breaking off a stream for an event of an unusual form."""
+    assert b"".join(event.raw for event in EventParser().feed(data)) == data
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -19,7 +19,7 @@
 )
 from sardineyard.gateway.stream import StreamForwarder, StreamMovedError
 from sardineyard.httpio.call import CONNECT_TIMEOUT_S, InvalidResponseError
-from sardineyard.httpio.fields import drop_connection_fields
+from sardineyard.httpio.fields import drop_connection_fields, find
 
 if TYPE_CHECKING:
     from sardineyard.core.mailbox import Mailbox
@@ -38,6 +38,7 @@
 # matters; the body is read so that the connection can be reused.
 _MAX_DISCARDED_BYTES = 65_536
 _DISCARD_TIMEOUT_S = 0.1
+_STREAM_MEDIA_TYPE = b"text/event-stream"
 _LOG_EVENTS = {
     CallResult.ANSWERED: "call_answered",
     CallResult.MOVED: "call_moved",
@@ -227,6 +228,9 @@
                 "success response without seal or request id, or with content encoding"
             )
         if self._admitted.route.is_stream:
+            media_type = find(head.headers, b"content-type").partition(b";")[0]
+            if media_type.strip().lower() not in (b"", _STREAM_MEDIA_TYPE):
+                raise InvalidResponseError("response that is no event stream")
             self._stream = StreamForwarder(
                 self._context, connection, self._move_requests, self._started_at
             )
--- a/packages/gateway/tests/test_faulty_upstreams.py
+++ b/packages/gateway/tests/test_faulty_upstreams.py
@@ -109,6 +109,71 @@
     run_with_gateway(test)
 
 
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ("HTTP/1.1 200 OK", "x-id: r1", "x-seal: s", "content-type: text/plain"),
+        ("HTTP/1.1 200 OK", "x-id: r1", "x-seal: s"),
+        ("HTTP/1.1 500 Error", "x-id: r1", "x-seal: s"),
+        ("HTTP/1.1 503 Busy", "x-id: r1"),
+        ("HTTP/1.1 500 Error",),
+        ("not an HTTP response",),
+    ],
+)
+def test_error_of_the_next_upstream_does_not_reach_a_started_stream(
+    run_with_gateway: RunWithGateway, lines: tuple[str, ...]
+) -> None:
+    """Guards against error text, or a regular end, in the middle of a stream."""
+    error = b"upstream is out of memory\n\ntry later\n\n"
+
+    async def break_off_or_fail(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        assert request is not None
+        if not request.header("last-event-id"):
+            await send_first_event_and_break_off(connection, request)
+            return
+        connection.send_head(*lines, f"content-length: {len(error)}", body=error)
+        await connection.writer.drain()
+
+    async def test(harness: Any) -> None:
+        await harness.start(break_off_or_fail, break_off_or_fail)
+        client = await harness.client()
+        client.send("/stream/")
+        assert (await client.read_response_head())[0] == 200
+        received = await client.reader.read()
+        assert b"id: 1\n" in received
+        assert b"memory" not in received
+        assert b"HTTP/" not in received
+        assert not received.endswith(b"0\r\n\r\n")
+
+    run_with_gateway(test)
+
+
+def test_second_response_does_not_reach_a_stream_without_length(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against the head of another response as part of a stream."""
+
+    async def send_stream_and_refusal(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        assert request is not None
+        start_unframed_stream(connection, request)
+        connection.writer.write(b"id: 1\ndata: a\n\n")
+        send_refusal(connection, "x-id: r1")
+        await connection.writer.drain()
+
+    async def test(harness: Any) -> None:
+        await harness.start(send_stream_and_refusal)
+        client = await harness.client()
+        client.send("/stream/")
+        received = await client.reader.read(65_536)
+        received += await client.reader.read()
+        assert received.count(b"HTTP/1.1") <= 1
+        assert not received.endswith(b"0\r\n\r\n")
+
+    run_with_gateway(test)
+
+
 @pytest.mark.parametrize("ends", ["finish", "reset"])
 def test_response_without_length_is_complete_only_at_a_regular_end(
     run_with_gateway: RunWithGateway, ends: str
