Take a stream without length and without an event as broken off

What callers saw: a complete, empty success for a stream whose runner ended right after the head, if the response had neither a length nor chunks. The crash was not counted either.

Cause: such a response ends with its connection, and that end was taken as complete as long as it was not inside an event.

Change: the end of the connection before the first event ends the call as broken.

Tests: test_stream_without_length_that_ends_early_does_not_look_complete (no event) and the unframed case of test_part_that_crashes_upstreams_is_refused_and_its_neighbours_are_served fail on the code before. A stream that ends between two events with a regular end of its connection cannot be told from a complete one.

--- a/packages/gateway/src/sardineyard/gateway/stream.py
+++ b/packages/gateway/src/sardineyard/gateway/stream.py
@@ -73,6 +73,9 @@
                 await self._move_if_requested()
         if self._parser.has_partial_event:
             raise InvalidResponseError("the stream ended with an incomplete event")
+        if self.event_count == 0 and not self._connection.is_response_framed:
+            # A stream that ends with its connection and has no event has broken off.
+            raise InvalidResponseError("the connection ended before the first event")
         await self._start_response(head)
         await deliver(self._context.response_writer.finish())
 
--- a/packages/gateway/tests/test_faulty_upstreams.py
+++ b/packages/gateway/tests/test_faulty_upstreams.py
@@ -29,19 +29,6 @@
     )
 
 
-def start_unframed_stream(
-    connection: UpstreamConnection, request: ReceivedRequest
-) -> None:
-    """Send the head of a stream that has no length and ends with its connection."""
-    connection.send_head(
-        "HTTP/1.1 200 OK",
-        f"x-id: {request.header('x-id')}",
-        "x-seal: s",
-        "content-type: text/event-stream",
-        "connection: close",
-    )
-
-
 async def send_first_event_and_break_off(
     connection: UpstreamConnection, request: ReceivedRequest
 ) -> None:
@@ -157,7 +144,7 @@
     async def send_stream_and_refusal(connection: UpstreamConnection) -> None:
         request = await connection.receive()
         assert request is not None
-        start_unframed_stream(connection, request)
+        connection.start_unframed_stream(request)
         connection.writer.write(b"id: 1\ndata: a\n\n")
         send_refusal(connection, "x-id: r1")
         await connection.writer.drain()
@@ -174,6 +161,34 @@
     run_with_gateway(test)
 
 
+@pytest.mark.parametrize("body", [b"", b"id: 1\ndata: a\n\nid: 2\ndata", b"id: 1\nda"])
+def test_stream_without_length_that_ends_early_does_not_look_complete(
+    run_with_gateway: RunWithGateway, body: bytes
+) -> None:
+    """Guards against a stream that breaks off and reaches the caller as a success."""
+
+    async def send_part(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        if request is None:
+            return
+        connection.start_unframed_stream(request)
+        connection.writer.write(body)
+        await connection.writer.drain()
+
+    async def test(harness: Any) -> None:
+        await harness.start(send_part)
+        client = await harness.client()
+        client.send("/stream/")
+        received = await client.reader.read(65_536)
+        if received.startswith(b"HTTP/1.1 200"):
+            received += await client.reader.read()
+            assert not received.endswith(b"0\r\n\r\n")
+        else:
+            assert received.startswith(b"HTTP/1.1 502")
+
+    run_with_gateway(test)
+
+
 @pytest.mark.parametrize("ends", ["finish", "reset"])
 def test_response_without_length_is_complete_only_at_a_regular_end(
     run_with_gateway: RunWithGateway, ends: str
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -27,6 +27,7 @@
 
     def __init__(self, is_deadly: Callable[[ReceivedRequest], bool]) -> None:
         self._is_deadly = is_deadly
+        self.is_framed = True
         self._numbers = count(1)
         self.crashes = 0
         self.deadly_requests = 0
@@ -41,8 +42,11 @@
                 if self._is_deadly(request):
                     self.deadly_requests += 1
                     harness.upstreams[id].close()
-                    if is_stream:
+                    if is_stream and self.is_framed:
                         connection.start_stream(request)
+                    elif is_stream:
+                        connection.start_unframed_stream(request)
+                    if is_stream:
                         await connection.writer.drain()
                         await asyncio.sleep(0.02)
                     connection.writer.close()
@@ -96,11 +100,14 @@
     return int(response[0])
 
 
+@pytest.mark.parametrize("is_framed", [True, False])
 def test_part_that_crashes_upstreams_is_refused_and_its_neighbours_are_served(
-    run_with_gateway: RunWithGateway, upstreams: CrashingUpstreams
+    run_with_gateway: RunWithGateway, upstreams: CrashingUpstreams, is_framed: bool
 ) -> None:
     """Guards against requests with one part in common that end all upstreams."""
 
+    upstreams.is_framed = is_framed
+
     async def test(harness: Any) -> None:
         for _ in range(3):
             await upstreams.add(harness)
--- a/packages/httpio/src/sardineyard/httpio/call.py
+++ b/packages/httpio/src/sardineyard/httpio/call.py
@@ -53,6 +53,7 @@
         self._body = b""
         self._keep_alive_s: float | None = None
         self._request_count = 0
+        self._is_response_framed = False
         self.has_received_bytes = False
 
     @classmethod
@@ -74,6 +75,11 @@
         """Return the idle timeout in seconds that the server last announced."""
         return self._keep_alive_s
 
+    @property
+    def is_response_framed(self) -> bool:
+        """Return whether the end of the last response shows in its own bytes."""
+        return self._is_response_framed
+
     @property
     def is_first_exchange(self) -> bool:
         """Return whether the connection has carried no other request before."""
@@ -119,6 +125,10 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._keep_alive_s = keep_alive_timeout_s(list(event.headers))
+                self._is_response_framed = any(
+                    name in (b"content-length", b"transfer-encoding")
+                    for name, _ in event.headers
+                )
                 return ResponseHead(event.status_code, list(event.headers.raw_items()))
             if not isinstance(event, h11.InformationalResponse):
                 raise InvalidResponseError("no response head")
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -242,6 +242,16 @@
             "transfer-encoding: chunked",
         )
 
+    def start_unframed_stream(self, request: ReceivedRequest) -> None:
+        """Send the head of a stream without length, which ends with its connection."""
+        self.send_head(
+            "HTTP/1.1 200 OK",
+            f"x-id: {request.header('x-id')}",
+            "x-seal: s",
+            "content-type: text/event-stream",
+            "connection: close",
+        )
+
     def send_event(self, number: int) -> None:
         """Send one event of a stream."""
         self.send_chunk(f"id: {number}\ndata: {number}\n\n".encode())
