Do not cut a slow stream that no other upstream can continue

What callers saw: a stream with a pause of more than 1.7 s ended in the middle, although its runner went on with it, if the stream cannot be resumed, had used its attempts, or the retry budget was used up.

Cause: the idle timeout closed the call first and asked afterwards whether a retry is allowed.

Change: the retry is acquired before the call is closed, as for streams that move off a slow upstream. Without one, the stream stays where it is and ends at the deadline of its request, also when single bytes go on arriving.

Tests: test_slow_stream_that_cannot_continue_elsewhere_is_not_cut (two cases) and test_slow_stream_is_not_cut_when_no_retry_is_left fail on the code before. The tests of a stream that stalls with single bytes and of an upstream that is no longer listed while it runs a stream passed before and keep both.

--- a/packages/gateway/src/sardineyard/gateway/attempts.py
+++ b/packages/gateway/src/sardineyard/gateway/attempts.py
@@ -61,11 +61,15 @@
     # Whether an upstream has begun to respond without a crash.
     has_run: bool = False
 
+    @property
+    def may_retry(self) -> bool:
+        """Return whether the request may be sent to one more upstream."""
+        return self.is_retryable and self.sent_attempts < self.max_upstreams
+
     @property
     def can_move(self) -> bool:
         """Return whether a started stream may be moved to another upstream."""
-        is_resumable = self.has_stream_started and self.is_retryable
-        return is_resumable and self.sent_attempts < self.max_upstreams
+        return self.has_stream_started and self.may_retry
 
     @property
     def is_retryable(self) -> bool:
@@ -87,7 +91,7 @@
             return (
                 NextAction.RETRY if may_retry and self.is_retryable else NextAction.END
             )
-        if self.sent_attempts < self.max_upstreams and self.is_retryable:
+        if self.may_retry:
             return NextAction.RETRY_IF_IN_BUDGET
         return self.action_without_retry(outcome)
 
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -17,7 +17,11 @@
     RequestStarted,
     UpstreamCrashed,
 )
-from sardineyard.gateway.stream import StreamForwarder, StreamMovedError
+from sardineyard.gateway.stream import (
+    StreamForwarder,
+    StreamMovedError,
+    StreamStalledError,
+)
 from sardineyard.httpio.call import CONNECT_TIMEOUT_S, InvalidResponseError
 from sardineyard.httpio.fields import drop_connection_fields, find
 
@@ -152,11 +156,10 @@
             return CallOutcome.NOT_RUN
         try:
             return await self._forward_response(connection, head, response_metadata)
-        except TimeoutError:
+        except StreamStalledError as stalled:
             connection.close()
-            self._set_result(
-                CallResult.TIMED_OUT, "no complete event within the stream idle timeout"
-            )
+            self._set_result(CallResult.TIMED_OUT, str(stalled))
+            return CallOutcome.MOVED
         except StreamMovedError as moved:
             connection.close()
             self._set_result(CallResult.MOVED, str(moved))
@@ -165,7 +168,6 @@
             connection.close()
             self._set_result(CallResult.BROKEN, repr(error))
             return await self._outcome_after_loss()
-        return CallOutcome.UNKNOWN
 
     async def _outcome_after_loss(self) -> CallOutcome:
         """Report a crash that the request may have caused; return the outcome."""
--- a/packages/gateway/src/sardineyard/gateway/stream.py
+++ b/packages/gateway/src/sardineyard/gateway/stream.py
@@ -34,6 +34,10 @@
     """The stream is to be continued at another upstream."""
 
 
+class StreamStalledError(StreamMovedError):
+    """The stream is to be continued elsewhere because its upstream sends no events."""
+
+
 class StreamForwarder:
     """Forwards the events of one call, as long as they are new to the caller."""
 
@@ -62,8 +66,7 @@
     async def forward(self, head: ResponseHead) -> None:
         """Forward the stream to its end.
 
-        Raise StreamMovedError, TimeoutError, OSError, InvalidResponseError or
-        MalformedStreamError.
+        Raise StreamMovedError, OSError, InvalidResponseError or MalformedStreamError.
         """
         while (chunk := await self._receive_chunk()) is not None:
             if self._idle_deadline is None:
@@ -84,8 +87,24 @@
         idle_s = (
             None if idle_deadline is None else remaining(self._clock, idle_deadline)
         )
-        async with asyncio.timeout(idle_s):
-            return await self._connection.receive_chunk()
+        try:
+            async with asyncio.timeout(idle_s):
+                return await self._connection.receive_chunk()
+        except TimeoutError:
+            await self._continue_elsewhere()
+        # No other upstream may continue the stream. It may be slow and sound, so only
+        # the deadline of the request ends it.
+        return await self._connection.receive_chunk()
+
+    async def _continue_elsewhere(self) -> None:
+        """Raise StreamStalledError if another upstream may continue the stream."""
+        context = self._context
+        # The retry is acquired before the call is ended: if the budget has none left,
+        # the stream stays at this upstream.
+        if context.progress.may_retry and await acquire_retry(
+            context.environment.dispatcher, context.admitted.service
+        ):
+            raise StreamStalledError("no complete event within the stream idle timeout")
 
     def _restart_idle_timeout(self) -> None:
         self._idle_deadline = deadline_after(self._clock, _STREAM_IDLE_TIMEOUT_S)
--- a/packages/gateway/tests/test_faulty_upstreams.py
+++ b/packages/gateway/tests/test_faulty_upstreams.py
@@ -230,6 +230,65 @@
     return dataclasses.replace(harness_config, routes=routes)
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"retry_policy": RetryPolicy.AT_MOST_ONCE, "max_upstreams": 1},
+        {"retry_policy": RetryPolicy.RESUMABLE, "max_upstreams": 1},
+    ],
+)
+def test_slow_stream_that_cannot_continue_elsewhere_is_not_cut(
+    run_with_gateway: RunWithGateway, config: Any, fields: dict[str, Any]
+) -> None:
+    """Guards against cutting a sound stream because it makes a long pause."""
+
+    async def send_slowly(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        assert request is not None
+        connection.start_stream(request)
+        connection.send_event(1)
+        await connection.writer.drain()
+        await asyncio.sleep(2.0)
+        connection.send_event(2)
+        connection.send_chunk(b"")
+        await connection.writer.drain()
+
+    async def test(harness: Any) -> None:
+        await harness.start(send_slowly, config=with_stream_route(config, **fields))
+        client = await harness.client()
+        status, _, body = await client.request("/stream/")
+        assert status == 200
+        assert body.count(b"data: ") == 2
+
+    run_with_gateway(test)
+
+
+def test_slow_stream_is_not_cut_when_no_retry_is_left(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against giving up a sound stream that no other upstream can continue."""
+
+    async def send_slowly(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        assert request is not None
+        connection.start_stream(request)
+        connection.send_event(1)
+        await connection.writer.drain()
+        await asyncio.sleep(2.0)
+        connection.send_event(2)
+        connection.send_chunk(b"")
+        await connection.writer.drain()
+
+    async def test(harness: Any) -> None:
+        await harness.start(send_slowly, send_slowly, repeat_extra=0.0)
+        client = await harness.client()
+        status, _, body = await client.request("/stream/")
+        assert status == 200
+        assert body.count(b"data: ") == 2
+
+    run_with_gateway(test)
+
+
 def test_stalled_stream_with_single_bytes_ends_at_its_deadline(
     run_with_gateway: RunWithGateway, config: Any
 ) -> None:
