Ignore upstreams of a peer that left before this process started

What callers saw: after a restart of a gateway, requests at an upstream that had left.

Cause: a new process asks the store and a peer at the same time and knows no removals from before its start. If the reply of a peer that had not yet received a removal arrived after the list of the store, the upstream was unknown here and was added again; nothing removed it later.

Change: an upstream from a peer that is unknown here counts as removed if the list here is complete up to a later revision.

Tests: test_late_reply_of_a_peer_does_not_restore_an_upstream_that_has_left fails on the code before, with the removed upstream in use.

--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -128,10 +128,10 @@
         upstreams = [self._decode_upstream(item) for item in update.upstreams]
         if message.reply is None and update.is_complete:
             # A reply has every change that this process lacked up to that revision.
-            self._upstreams.merge(upstreams, update.upstream_revision)
+            self._upstreams.merge(upstreams, update.upstream_revision, from_peer=True)
             self._is_complete = True
         else:
-            self._upstreams.merge(upstreams, 0)
+            self._upstreams.merge(upstreams, 0, from_peer=True)
         if message.reply is not None:
             message.reply.send(self._build_update(receiver=update))
 
--- a/packages/catalog/tests/test_keeper.py
+++ b/packages/catalog/tests/test_keeper.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from sardineyard.catalog.messages import ConfigReceived, PeerUpdate, PeerUpdateReceived
+from sardineyard.catalog.messages import (
+    ConfigReceived,
+    PeerUpdate,
+    PeerUpdateReceived,
+    UpstreamUpdate,
+)
 from sardineyard.core.ids import FailureDomain, ServiceName
 from sardineyard.core.mailbox import Reply
 from sardineyard.forwarding.config import (
@@ -182,3 +187,28 @@
         assert catalog.keeper.config.version == 5
 
     run_with_catalogs(test)
+
+
+def test_late_reply_of_a_peer_does_not_restore_an_upstream_that_has_left(
+    run_with_catalogs: Callable[..., None],
+) -> None:
+    """Guards against a restarted process that uses a removed upstream again."""
+
+    async def test(catalog: Any) -> None:
+        await catalog.store.put_config(config(1))
+        await catalog.store.put_upstream(entry("left"))
+        left = (await catalog.store.read_upstreams()).entries[0]
+        await catalog.store.put_upstream(entry("stays"))
+        await catalog.store.remove_upstream("left")
+        catalog.start()
+        await catalog.wait_until(lambda: catalog.keeper.is_ready)
+        # The exchange began before the list was read, at a peer without the removal.
+        outdated = UpstreamUpdate("left", left.revision, left.raw)
+        update = PeerUpdate(
+            "", 0, left.revision, upstreams=(outdated,), is_complete=True
+        )
+        catalog.keeper.mailbox.post(PeerUpdateReceived(update))
+        await asyncio.sleep(0.1)
+        assert catalog.upstreams() == {"stays"}
+
+    run_with_catalogs(test)
--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -103,9 +103,15 @@
         revision: int,
         *,
         after_outage: bool = False,
+        from_peer: bool = False,
     ) -> None:
         """Apply updates that are complete up to a revision."""
         for update in updates:
+            is_unknown = update.id not in self._records
+            if from_peer and is_unknown and update.revision <= self._revision:
+                # The registry is complete up to a later revision, so the upstream was
+                # removed, maybe before this process started and kept removals.
+                continue
             if update.entry is None:
                 self._remove(update.id, update.revision, after_outage=after_outage)
             else:
--- a/packages/forwarding/tests/test_listing.py
+++ b/packages/forwarding/tests/test_listing.py
@@ -49,6 +49,18 @@
     assert registry.changes_since(4) == [("u1", 5, None)]
 
 
+def test_upstream_that_left_before_the_start_is_not_restored_by_a_late_peer(
+    registry: UpstreamRegistry, make_update: Callable[..., StoredUpstream]
+) -> None:
+    """Guards against a restarted process that uses a removed upstream again."""
+    registry.replace(UpstreamSnapshot((make_update("u2", 7),), 9), after_outage=False)
+    # The reply of a peer that has not yet received the removal.
+    registry.merge([make_update("u1", 4), make_update("u2", 7)], 5, from_peer=True)
+    assert usable(registry) == {"u2"}
+    registry.merge([make_update("u1", 11)], 11, from_peer=True)
+    assert usable(registry) == {"u1", "u2"}
+
+
 def test_lapsed_entry_stays_usable_for_two_seconds(
     registry: UpstreamRegistry,
     clock: ManualClock,
