Send a full list to peers that lack removals from before the start

What callers saw: while the store is away, a gateway that had taken the newest list from a restarted peer went on using an upstream that had left before that peer's start.

Cause: a reply to a peer holds the changes since the peer's revision and says that it is complete, but a restarted process knows no removals from before its own start.

Change: the registry knows after which revision it has every removal. A peer that is behind that gets the full list, and removes what is not in it. Replies that leave out lapsed entries are not called complete then.

Tests: test_list_of_a_restarted_process_removes_what_left_before_its_start fails on the code before (the removed upstream stays in use until the test times out).

--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -22,7 +22,7 @@
 )
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.forwarding.listing import UpstreamRegistry
-from sardineyard.forwarding.store import StoredUpstream
+from sardineyard.forwarding.store import StoredUpstream, UpstreamSnapshot
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
@@ -128,6 +128,9 @@
         upstreams = [self._decode_upstream(item) for item in update.upstreams]
         if message.reply is None and update.is_complete:
             # A reply has every change that this process lacked up to that revision.
+            if update.is_full_list:
+                snapshot = UpstreamSnapshot(tuple(upstreams), update.upstream_revision)
+                self._upstreams.replace(snapshot, after_outage=False)
             self._upstreams.merge(upstreams, update.upstream_revision, from_peer=True)
             self._is_complete = True
         else:
@@ -161,14 +164,17 @@
     def _build_update(self, receiver: PeerUpdate | None = None) -> PeerUpdate:
         config: bytes | None = None
         upstreams: tuple[UpstreamUpdate, ...] = ()
+        is_full_list = False
         if receiver is not None:
             if self._config is not None and receiver.config_version < self._version:
                 config = self._compress_config(self._config)
-            if receiver.upstream_revision < self._upstreams.revision:
+            revision = receiver.upstream_revision
+            if revision < self._upstreams.revision:
+                is_full_list = revision < self._upstreams.removals_known_after
                 upstreams = tuple(
                     UpstreamUpdate(*change)
                     for change in self._upstreams.changes_since(
-                        receiver.upstream_revision
+                        0 if is_full_list else revision
                     )
                 )
         return PeerUpdate(
@@ -178,7 +184,10 @@
             config=config,
             config_revision=0 if self._config is None else self._config.revision,
             upstreams=upstreams,
-            is_complete=self._is_complete,
+            # Lapsed upstreams are not sent, so a full list would remove them.
+            is_complete=self._is_complete
+            and not (is_full_list and self._upstreams.has_lapsed),
+            is_full_list=is_full_list,
         )
 
     def _compress_config(self, stored: StoredConfig) -> bytes:
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -99,6 +99,9 @@
     upstreams: tuple[UpstreamUpdate, ...] = ()
     # Whether the sender has received a full list of upstreams.
     is_complete: bool = False
+    # Whether all upstreams of the sender are in this update, because it does not know
+    # every removal since the revision of the receiver. Others have been removed.
+    is_full_list: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/catalog/tests/conftest.py
+++ b/packages/catalog/tests/conftest.py
@@ -29,6 +29,7 @@
         self.store = store
         self.changes: Mailbox[Any] = Mailbox()
         self.tasks = TaskSet()
+        self._last_change: Any = None
         self.clock = SystemClock()
         self.keeper = CatalogKeeper(store, self.clock, address)
         self.keeper.subscribe(self.changes)
@@ -51,6 +52,8 @@
         """Return the ids of the usable upstreams in the last published change."""
         while (change := self.changes.receive_nowait()) is not None:
             self._last_change = change
+        if self._last_change is None:
+            return set()
         entries = self._last_change.upstreams.get(SERVICE, ())
         return {entry.id for entry in entries}
 
--- a/packages/catalog/tests/test_keeper.py
+++ b/packages/catalog/tests/test_keeper.py
@@ -12,6 +12,8 @@
     ConfigReceived,
     PeerUpdate,
     PeerUpdateReceived,
+    PrepareExchange,
+    UpstreamsListed,
     UpstreamUpdate,
 )
 from sardineyard.core.ids import FailureDomain, ServiceName
@@ -212,3 +214,34 @@
         assert catalog.upstreams() == {"stays"}
 
     run_with_catalogs(test)
+
+
+def test_list_of_a_restarted_process_removes_what_left_before_its_start(
+    run_with_catalogs: Callable[..., None],
+) -> None:
+    """Guards against an upstream that has left and stays in use in a store outage.
+
+    The restarted process knows the list, but not the removals before its start.
+    """
+
+    async def test(restarted: Any, behind: Any) -> None:
+        store = restarted.store
+        await store.put_config(config(1))
+        await store.put_upstream(entry("left"))
+        await store.put_upstream(entry("stays"))
+        for catalog in (restarted, behind):
+            catalog.start(watches_store=False)
+        old_list = UpstreamsListed(await store.read_upstreams(), after_outage=False)
+        behind.keeper.mailbox.post(old_list)
+        await store.remove_upstream("left")
+        new_list = UpstreamsListed(await store.read_upstreams(), after_outage=False)
+        restarted.keeper.mailbox.post(new_list)
+        query: Reply[PeerUpdate] = Reply()
+        behind.keeper.mailbox.post(PrepareExchange(query))
+        reply: Reply[PeerUpdate] = Reply()
+        update = PeerUpdateReceived(await query.wait(), reply)
+        restarted.keeper.mailbox.post(update)
+        behind.keeper.mailbox.post(PeerUpdateReceived(await reply.wait()))
+        await behind.wait_until(lambda: behind.upstreams() == {"stays"})
+
+    run_with_catalogs(test, "127.0.0.1:1", "127.0.0.2:1")
--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -60,12 +60,19 @@
         # Store revision of the removal, by upstream id.
         self._tombstones: dict[str, int] = {}
         self._revision = 0
+        # Revision after which every removal has a tombstone.
+        self._removals_known_after = 0
 
     @property
     def revision(self) -> int:
         """Return the store revision up to which the registry is complete."""
         return self._revision
 
+    @property
+    def removals_known_after(self) -> int:
+        """Return the store revision after which every removal is known."""
+        return self._removals_known_after
+
     @property
     def records(self) -> dict[str, UpstreamRecord]:
         """Return the records by upstream id."""
@@ -91,6 +98,8 @@
 
     def replace(self, snapshot: UpstreamSnapshot, *, after_outage: bool) -> None:
         """Apply a full list; missing entries are removed, or lapse after an outage."""
+        if self._revision == 0:
+            self._removals_known_after = snapshot.revision
         present = {update.id for update in snapshot.entries}
         for id, record in list(self._records.items()):
             if id not in present and record.revision <= snapshot.revision:
@@ -195,7 +204,8 @@
         self._tombstones.pop(id, None)
         self._tombstones[id] = revision
         while len(self._tombstones) > _MAX_TOMBSTONES:
-            del self._tombstones[next(iter(self._tombstones))]
+            forgotten = self._tombstones.pop(next(iter(self._tombstones)))
+            self._removals_known_after = max(self._removals_known_after, forgotten)
         if self._records.pop(id, None) is not None:
             _log_id(id, revision, reason)
 
