Answer requests that arrive while a server stops listening

What callers saw: during a planned stop under load, connections reset after their request had been sent or while it was being sent.

Causes, one in each server or in both: closing the listening socket resets the connections that wait in its backlog; a connection counted as idle although its request had been received but not yet been read by its task; the server of the entries counted a connection as idle until its request was complete, so it cut bodies in transit.

A connection with received bytes is not idle.

--- a/packages/httpio/src/sardineyard/httpio/acceptor.py
+++ b/packages/httpio/src/sardineyard/httpio/acceptor.py
@@ -11,6 +11,7 @@
 
 from sardineyard.core.errors import ErrorKind
 from sardineyard.httpio.fields import find
+from sardineyard.httpio.listener import FIRST_REQUEST_GRACE_S, Listener
 from sardineyard.httpio.request_reader import (
     IncomingRequest,
     RequestReader,
@@ -108,25 +109,23 @@
         limits: Callable[[], AcceptLimits],
         max_connections: int,
     ) -> None:
-        self._address = address
+        self._listener = Listener(address, _BACKLOG, lambda: SocketStream(self._accept))
         self._handler = handler
         self._refuse = refuse
         self._limits = limits
         self._max_connections = max_connections
         self._connections: dict[asyncio.Task[None], _AcceptedConnection] = {}
-        self._server: asyncio.Server | None = None
         self._closes_after_response = False
 
     @property
     def open_connections(self) -> int:
         """Return the number of open connections."""
-        return len(self._connections)
+        return len(self._connections) + self._listener.accepting
 
     @property
     def port(self) -> int:
         """Return the port on which the server listens."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        return self._listener.port
 
     @property
     def closes_after_response(self) -> bool:
@@ -135,13 +134,7 @@
 
     async def start(self) -> None:
         """Start listening."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: SocketStream(self._accept),
-            self._address.host,
-            self._address.port,
-            backlog=_BACKLOG,
-        )
+        await self._listener.start()
 
     def close_after_responses(self) -> None:
         """Close each connection after its next response."""
@@ -149,8 +142,8 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections and close those without a request."""
-        if self._server is not None:
-            self._server.close()
+        self._closes_after_response = True
+        self._listener.close()
         for connection in self._connections.values():
             connection.close_if_idle()
 
@@ -174,6 +167,9 @@
         task = asyncio.get_running_loop().create_task(connection.run(self._limits))
         self._connections[task] = connection
         task.add_done_callback(self._on_task_done)
+        if self._listener.is_closed:
+            loop = asyncio.get_running_loop()
+            loop.call_later(FIRST_REQUEST_GRACE_S, connection.close_if_idle)
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._connections.pop(task, None)
@@ -203,8 +199,9 @@
         self._is_responding = False
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is in progress."""
-        if self._reader.is_idle and not self._is_responding:
+        """Close the connection if no request is in progress or received."""
+        is_idle = self._reader.is_idle and not self._stream.has_input
+        if is_idle and not self._is_responding:
             self._stream.close()
 
     async def run(self, limits: Callable[[], AcceptLimits]) -> None:
