--- a/packages/gateway/tests/test_faulty_upstreams.py
+++ b/packages/gateway/tests/test_faulty_upstreams.py
@@ -40,6 +40,19 @@
     connection.reset()
 
 
+async def send_with_pause(connection: UpstreamConnection) -> None:
+    """Send a sound stream with a pause longer than the stream idle timeout."""
+    request = await connection.receive()
+    assert request is not None
+    connection.start_stream(request)
+    connection.send_event(1)
+    await connection.writer.drain()
+    await asyncio.sleep(2.0)
+    connection.send_event(2)
+    connection.send_chunk(b"")
+    await connection.writer.drain()
+
+
 def test_earlier_refusal_is_not_taken_as_the_response_to_a_retry(
     run_with_gateway: RunWithGateway,
 ) -> None:
@@ -242,19 +255,8 @@
 ) -> None:
     """Guards against cutting a sound stream because it makes a long pause."""
 
-    async def send_slowly(connection: UpstreamConnection) -> None:
-        request = await connection.receive()
-        assert request is not None
-        connection.start_stream(request)
-        connection.send_event(1)
-        await connection.writer.drain()
-        await asyncio.sleep(2.0)
-        connection.send_event(2)
-        connection.send_chunk(b"")
-        await connection.writer.drain()
-
     async def test(harness: Any) -> None:
-        await harness.start(send_slowly, config=with_stream_route(config, **fields))
+        await harness.start(send_with_pause, config=with_stream_route(config, **fields))
         client = await harness.client()
         status, _, body = await client.request("/stream/")
         assert status == 200
@@ -268,19 +270,8 @@
 ) -> None:
     """Guards against giving up a sound stream that no other upstream can continue."""
 
-    async def send_slowly(connection: UpstreamConnection) -> None:
-        request = await connection.receive()
-        assert request is not None
-        connection.start_stream(request)
-        connection.send_event(1)
-        await connection.writer.drain()
-        await asyncio.sleep(2.0)
-        connection.send_event(2)
-        connection.send_chunk(b"")
-        await connection.writer.drain()
-
     async def test(harness: Any) -> None:
-        await harness.start(send_slowly, send_slowly, repeat_extra=0.0)
+        await harness.start(send_with_pause, send_with_pause, repeat_extra=0.0)
         client = await harness.client()
         status, _, body = await client.request("/stream/")
         assert status == 200
