--- a/packages/forwarding/src/sardineyard/forwarding/quarantine.py
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -189,18 +189,19 @@
     def record_success(self, traits: RequestTraits) -> bool:
         """Record that an upstream ran a request without a crash.
 
-        Return whether any process has a finding about one of its traits.
+        Return whether the refused traits may have changed.
         """
         now = self._clock.now()
-        has_findings = False
+        may_change = False
         for trait in traits:
             has_finding = self._has_finding(trait)
-            has_findings = has_findings or has_finding
+            is_first = trait not in self._successes
+            may_change |= has_finding and (is_first or self.crash_count(trait) > 0)
             if has_finding or trait.kind is TraitKind.PROMPT_PART:
                 _put(self._successes, trait, now, _MAX_SUCCESSES)
             if trait in self._crashes:
                 self._crashes[trait].count = 0
-        return has_findings
+        return may_change
 
     def record_crash(self, traits: RequestTraits) -> tuple[Trait, ...]:
         """Record that an upstream crashed on a request; return the suspected traits."""
@@ -284,7 +285,7 @@
 
     def _is_refused(self, trait: Trait) -> bool:
         findings = self._findings(trait)
-        witnesses = self._witnesses(trait)
+        witnesses = self.crash_count(trait) + findings[Finding.CRASHED]
         sound = findings[Finding.SOUND] + (trait in self._successes)
         limit = _CRASH_LIMITS[trait.kind]
         if sound:
