Let refusals of a trait rest on observed crashes alone

One process lied about a sound part that one honest process suspected beside the deadly one, and processes that refused it because others did kept each other's refusals alive after the suspicion was withdrawn.

Change: a process states a refusal only if enough crashes were observed, by itself or by others that say so; such a statement holds five seconds and is repeated while it is true. A companion of a part is left out only if a crash here or the statements of two others show that it is none.

Tests: test_one_process_cannot_make_a_suspicion_of_another_one_a_refusal and test_refusals_end_once_their_cause_is_withdrawn fail on the code before.

--- a/packages/forwarding/src/sardineyard/forwarding/quarantine.py
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -34,6 +34,9 @@
 # Age up to which a success contradicts the crashes that other processes state. It is
 # short, because a part may begin to crash upstreams after it was sound.
 _RECENT_SUCCESS_S = 15.0
+# Time for which a statement that a trait is refused holds. It is repeated twice a
+# second while it is true.
+_REFUSAL_VALIDITY_S = 5.0
 # Maximum number of statements that are sent, and kept of each other process.
 MAX_STATEMENTS = 48
 _MAX_PEERS = 1_000
@@ -86,7 +89,9 @@
     CRASHED = "crashed"
     # A request with the trait has succeeded lately.
     SOUND = "sound"
-    # The process refuses the trait, because of what others found.
+    # The process refuses the trait because of the crashes of several others. A process
+    # that relies on such statements makes none, or processes would keep each other's
+    # refusals alive after the crashes have turned out to have another cause.
     REFUSED = "refused"
 
 
@@ -285,24 +290,42 @@
 
     def _is_refused(self, trait: Trait) -> bool:
         findings = self._findings(trait)
-        witnesses = self.crash_count(trait) + findings[Finding.CRASHED]
-        sound = findings[Finding.SOUND] + (trait in self._successes)
-        limit = _CRASH_LIMITS[trait.kind]
-        if sound:
-            return witnesses >= limit + sound
+        if self._is_witnessed(trait, findings):
+            return True
         # A process that has just started relies on those that refuse the trait.
-        return witnesses + findings[Finding.REFUSED] >= limit
+        supporters = self._witnesses(trait) + findings[Finding.REFUSED]
+        is_sound = trait in self._successes or findings[Finding.SOUND] > 0
+        return not is_sound and supporters >= _CRASH_LIMITS[trait.kind]
+
+    def _is_witnessed(self, trait: Trait, findings: Counter[Finding]) -> bool:
+        """Return whether enough crashes were observed, here or by other processes."""
+        sound = findings[Finding.SOUND] + (trait in self._successes)
+        witnesses = self.crash_count(trait) + findings[Finding.CRASHED]
+        return witnesses >= _CRASH_LIMITS[trait.kind] + sound
 
     def _companions(self, trait: Trait) -> frozenset[Trait]:
-        """Return the parts without which a request with the trait is not refused."""
+        """Return the parts without which a request with the trait is not refused.
+
+        A part is left out if a crash here or two other processes show that it is none.
+        """
+        stated = [
+            claims[trait].companions
+            for claims in self._claims.values()
+            if trait in claims and claims[trait].finding is not Finding.SOUND
+        ]
         crashes = self._crashes.get(trait)
-        known = [crashes.companions] if crashes is not None and crashes.count else []
-        for claims in self._claims.values():
-            claim = claims.get(trait)
-            if claim is not None and claim.finding is not Finding.SOUND:
-                known.append(claim.companions)
-        common = frozenset.intersection(*known) if known else frozenset()
-        return common.difference(self._successes)
+        if crashes is not None and crashes.count > 0:
+            candidates = crashes.companions
+        else:
+            candidates = frozenset().union(*stated)
+        without = Counter(
+            part for parts in stated for part in candidates if part not in parts
+        )
+        return frozenset(
+            part
+            for part in candidates
+            if without[part] < 2 and part not in self._successes
+        )
 
     def _is_recent(self, trait: Trait) -> bool:
         succeeded_at = self._successes.get(trait)
@@ -320,16 +343,11 @@
             )
         if self._is_recent(trait):
             return TraitStatement(trait, Finding.SOUND, _RECENT_SUCCESS_S)
-        if not self._is_refused(trait):
+        if not self._is_witnessed(trait, self._findings(trait)):
             return None
-        # A refusal ends with the findings that it rests on.
-        expires = max(
-            claims[trait].expires
-            for claims in self._claims.values()
-            if trait in claims and claims[trait].finding is not Finding.SOUND
+        return TraitStatement(
+            trait, Finding.REFUSED, _REFUSAL_VALIDITY_S, self._companions(trait)
         )
-        left_s = remaining(self._clock, expires)
-        return TraitStatement(trait, Finding.REFUSED, left_s, self._companions(trait))
 
     def _drop_expired(self) -> None:
         now = self._clock.now()
--- a/packages/forwarding/tests/test_quarantine.py
+++ b/packages/forwarding/tests/test_quarantine.py
@@ -165,6 +165,52 @@
     assert not quarantine.refused
 
 
+def test_one_process_cannot_make_a_suspicion_of_another_one_a_refusal(
+    clock: ManualClock,
+) -> None:
+    """Guards against a lie about a sound part that one honest process suspects."""
+    honest = Quarantine(clock)
+    honest.record_crash(DEADLY)
+    others = [Quarantine(clock) for _ in range(3)]
+    topic = DEADLY.prompt_parts[0]
+    for _ in range(3):
+        for other in others:
+            other.receive(PEERS[0], honest.statements())
+            lie = TraitStatement(topic, Finding.CRASHED, QUARANTINE_S)
+            other.receive(PEERS[1], [lie])
+            for number, sender in enumerate(others, 2):
+                if sender is not other:
+                    other.receive(PEERS[number], sender.statements())
+        for other in others:
+            assert not is_refused(other, NEIGHBOUR)
+
+
+def test_refusals_end_once_their_cause_is_withdrawn(clock: ManualClock) -> None:
+    """Guards against processes that keep each other's wrong refusals alive."""
+    processes = [Quarantine(clock) for _ in range(4)]
+    topic = DEADLY.prompt_parts[0]
+
+    def exchange() -> None:
+        for number, sender in enumerate(processes):
+            for receiver in processes:
+                if receiver is not sender:
+                    receiver.receive(PEERS[number], sender.statements())
+
+    for process in processes:
+        for peer in PEERS[8:]:
+            statement = TraitStatement(topic, Finding.CRASHED, QUARANTINE_S)
+            process.receive(peer, [statement])
+    exchange()
+    assert all(is_refused(process, NEIGHBOUR) for process in processes)
+    for process in processes:
+        for peer in PEERS[8:]:
+            process.receive(peer, [TraitStatement(topic, Finding.SOUND, 15.0)])
+    exchange()
+    clock.advance(16.0)
+    exchange()
+    assert not any(is_refused(process, NEIGHBOUR) for process in processes)
+
+
 def test_one_process_alone_cannot_release_a_part(
     quarantine: Quarantine, clock: ManualClock
 ) -> None:
