Send the findings that matter when not all fit into a datagram

Found when reading the change: an ordinary crash adds a finding for each request that ran, so a finding about a prompt part was displaced from the statements after some crashes; and findings with several companions exceeded the size of a datagram, which was then not sent at all.

Change: parts precede requests in the statements, and a datagram that is too large is sent with its first half.

Tests: test_crashes_of_requests_do_not_displace_the_statement_about_a_part and test_findings_that_do_not_fit_into_a_datagram_are_sent_in_part fail on the code before.

--- a/packages/catalog/src/sardineyard/catalog/beacons.py
+++ b/packages/catalog/src/sardineyard/catalog/beacons.py
@@ -210,7 +210,12 @@
             return
         self._sent_findings = findings
         self._repeat_findings_at = deadline_after(self._clock, _REPEAT_INTERVAL_S)
-        self._send_to_peers(msgspec.msgpack.encode(TraitFindings(statements)))
+        data = msgspec.msgpack.encode(TraitFindings(statements))
+        while len(data) > _MAX_DATAGRAM_BYTES:
+            # The most important statements come first.
+            statements = statements[: len(statements) // 2]
+            data = msgspec.msgpack.encode(TraitFindings(statements))
+        self._send_to_peers(data)
 
     def _send_to_peers(self, data: bytes) -> None:
         if len(data) > _MAX_DATAGRAM_BYTES:
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -19,8 +19,10 @@
     PeerService,
 )
 from sardineyard.core.address import Address
+from sardineyard.core.ids import PromptPartId, ServiceName
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.forwarding.config import ForwardingConfig
+from sardineyard.forwarding.quarantine import Finding, TraitStatement, traits_of
 from sardineyard.forwarding.store import StoreFailure
 
 if TYPE_CHECKING:
@@ -109,6 +111,47 @@
     run_with_catalogs(test)
 
 
+def test_findings_that_do_not_fit_into_a_datagram_are_sent_in_part(
+    run_with_catalogs: Callable[..., None],
+) -> None:
+    """Guards against gateways that state nothing because they have found too much."""
+    parts = tuple(PromptPartId(f"part{number}") for number in range(40))
+    traits = traits_of(ServiceName("llm"), None, b"", b"", b"", parts).prompt_parts
+    companions = frozenset(traits[:4])
+    statements = tuple(
+        TraitStatement(trait, Finding.CRASHED, 60.0, companions) for trait in traits
+    )
+
+    async def test(catalog: Any) -> None:
+        port = free_port()
+        received: Mailbox[Any] = Mailbox()
+        for host, peer, stated in (
+            ("127.0.0.1", "127.0.0.2:1", statements),
+            ("127.0.0.2", "127.0.0.1:1", ()),
+        ):
+            beacons = BeaconSocket(
+                Address(host, 1),
+                Address(host, port),
+                catalog.clock,
+                lambda peer=peer: [peer],
+                dict,
+                dict,
+                lambda: (0, 0),
+                lambda _: None,
+                lambda stated=stated: stated,
+            )
+            if not stated:
+                beacons.subscribe_findings(received)
+            catalog.tasks.start(host, beacons.run())
+        async with asyncio.timeout(3.0):
+            message = await received.receive()
+        assert message.peer == "127.0.0.1"
+        assert message.statements == statements[: len(message.statements)]
+        assert len(message.statements) >= 10
+
+    run_with_catalogs(test)
+
+
 def test_process_is_not_ready_while_the_store_fails(
     run_with_catalogs: Callable[..., None],
 ) -> None:
--- a/packages/forwarding/src/sardineyard/forwarding/quarantine.py
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -236,9 +236,17 @@
             _put(self._claims, peer, claims, _MAX_PEERS)
 
     def statements(self) -> tuple[TraitStatement, ...]:
-        """Return the findings of this process, those it observed itself first."""
+        """Return the findings of this process, the most important ones first.
+
+        Those that it observed itself precede others, parts of prompts precede requests,
+        of which each crash may add several, and newer ones precede older ones.
+        """
         self._drop_expired()
-        own = [self._statement(trait) for trait in reversed(self._crashes)]
+        newest = sorted(
+            reversed(self._crashes),
+            key=lambda trait: trait.kind is not TraitKind.PROMPT_PART,
+        )
+        own = [self._statement(trait) for trait in newest]
         others = [
             self._statement(trait)
             for trait in self.known_traits
--- a/packages/forwarding/tests/test_quarantine.py
+++ b/packages/forwarding/tests/test_quarantine.py
@@ -269,6 +269,18 @@
     assert len(quarantine.known_traits) <= MAX_STATEMENTS + 1
 
 
+def test_crashes_of_requests_do_not_displace_the_statement_about_a_part(
+    quarantine: Quarantine,
+) -> None:
+    """Guards against ordinary crashes that keep the fleet from learning of a part."""
+    quarantine.record_crash(DEADLY)
+    for number in range(2 * MAX_STATEMENTS):
+        quarantine.record_crash(traits(body=b"%d" % number))
+    statements = quarantine.statements()
+    assert len(statements) == MAX_STATEMENTS
+    assert statements[0].trait == DEADLY.prompt_parts[1]
+
+
 @pytest.mark.parametrize("seconds", [float("nan"), float("inf"), -1.0, 0.0, 1e9])
 def test_findings_without_a_valid_time_are_ignored(
     quarantine: Quarantine, seconds: float
