--- a/packages/forwarding/tests/test_events.py
+++ b/packages/forwarding/tests/test_events.py
@@ -65,7 +65,7 @@
         b": comment\n\n",
         b"data\n\n",
         b"\xef\xbb\xbfdata: a\n\n",
-        b'x-sardineyard-weight-versions: 3\nid: 4\ndata: {"a": 1}\n\n',
+        b'x-model-version: 3\nid: 4\ndata: {"a": 1}\n\n',
         b"event: done\r\ndata: HTTP/1.1 is a protocol\r\ndata:\r\n\r\n",
         b"id: 7\rdata: a b c\r\r",
         b"retry: 100\n\n",
