--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -173,6 +173,11 @@
         """Return the addresses of the peers that are not silent."""
         return self._peer_exchange.alive
 
+    @property
+    def refused_traits(self) -> list[str]:
+        """Return the traits whose requests are refused."""
+        return sorted(map(str, self._quarantine.refused))
+
     @property
     def caller_port(self) -> int:
         """Return the port on which this gateway listens for callers."""
@@ -251,13 +256,13 @@
             "open_requests": self._forwarder.open_requests,
             "catalog": await self._catalog.dump(),
             "gateway": await dispatcher_state.wait(),
-            "refused_traits": sorted(map(str, self._quarantine.refused)),
+            "refused_traits": self.refused_traits,
         }
 
     async def _render_metrics(self) -> tuple[dict[str, str], bytes]:
         self._metrics.process_state(self._state)
         self._metrics.document_in_force(self._catalog.version)
-        self._metrics.refused_traits(len(self._quarantine.refused))
+        self._metrics.refused_traits(len(self.refused_traits))
         self._metrics.connections("callers", self._caller_acceptor.open_connections)
         self._metrics.connections("upstreams_idle", self._connections.idle_count)
         return self._metrics.render()
