Let refusals expire while requests go on

Found when reading the change: the task looked for expired findings only after a second without a message, so under steady traffic a part stayed refused for as long as requests came.

Change: the check is due at a time, whatever arrives. test_refusal_expires_while_other_requests_go_on fails on the code before.

--- a/packages/gateway/src/sardineyard/gateway/quarantine.py
+++ b/packages/gateway/src/sardineyard/gateway/quarantine.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.catalog.messages import PeerStatements
+from sardineyard.core.clock import deadline_after
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.forwarding.quarantine import Quarantine
 from sardineyard.gateway.messages import (
@@ -31,9 +32,11 @@
 
     def __init__(self, clock: Clock, subscriber: Mailbox[object]) -> None:
         self.mailbox: Mailbox[object] = Mailbox()
+        self._clock = clock
         self._quarantine = Quarantine(clock)
         self._subscriber = subscriber
         self._refused: RefusedTraits = {}
+        self._next_check = deadline_after(clock, _EXPIRY_CHECK_S)
 
     @property
     def refused(self) -> RefusedTraits:
@@ -51,6 +54,8 @@
                 async with asyncio.timeout(_EXPIRY_CHECK_S):
                     self._handle(await self.mailbox.receive())
             except TimeoutError:
+                pass
+            if self._clock.now() >= self._next_check:
                 self._publish()
 
     @singledispatchmethod
@@ -83,6 +88,7 @@
         self._publish()
 
     def _publish(self) -> None:
+        self._next_check = deadline_after(self._clock, _EXPIRY_CHECK_S)
         refused = self._quarantine.refused
         if refused == self._refused:
             return
