Move traits and findings out of the quarantine

`forwarding/quarantine.py` held the values that gateways exchange and the decisions on them. The values have a module of their own. No behaviour changes.

--- a/packages/catalog/src/sardineyard/catalog/beacons.py
+++ b/packages/catalog/src/sardineyard/catalog/beacons.py
@@ -17,7 +17,8 @@
 from sardineyard.catalog.messages import PeerLoads, PeerStatements
 from sardineyard.core.address import parse_address
 from sardineyard.core.clock import Deadline, deadline_after
-from sardineyard.forwarding.quarantine import PeerHost, TraitStatement
+from sardineyard.forwarding.quarantine import PeerHost
+from sardineyard.forwarding.traits import TraitStatement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -11,12 +11,13 @@
     from sardineyard.core.ids import ServiceName
     from sardineyard.core.mailbox import Reply
     from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
-    from sardineyard.forwarding.quarantine import PeerHost, TraitStatement
+    from sardineyard.forwarding.quarantine import PeerHost
     from sardineyard.forwarding.store import (
         StoredConfig,
         UpstreamChanges,
         UpstreamSnapshot,
     )
+    from sardineyard.forwarding.traits import TraitStatement
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -22,8 +22,8 @@
 from sardineyard.core.ids import PromptPartId, ServiceName
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.forwarding.config import ForwardingConfig
-from sardineyard.forwarding.quarantine import Finding, TraitStatement, traits_of
 from sardineyard.forwarding.store import StoreFailure
+from sardineyard.forwarding.traits import Finding, TraitStatement, traits_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/forwarding/src/sardineyard/forwarding/quarantine.py
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -10,18 +10,16 @@
 
 from collections import Counter, OrderedDict
 from dataclasses import dataclass
-from enum import Enum, unique
-from hashlib import blake2b
 from typing import TYPE_CHECKING, NewType, TypeVar
 
 from sardineyard.core.clock import deadline_after, remaining
-from sardineyard.core.ids import Fingerprint
+from sardineyard.forwarding.traits import Finding, TraitKind, TraitStatement
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable
 
     from sardineyard.core.clock import Clock, Deadline
-    from sardineyard.core.ids import PromptPartId, ServiceName, TeamId
+    from sardineyard.forwarding.traits import RefusedTraits, RequestTraits, Trait
 
 Key = TypeVar("Key")
 Value = TypeVar("Value")
@@ -42,16 +40,6 @@
 _MAX_PEERS = 1_000
 _MAX_SUCCESSES = 5_000
 _MAX_CRASHES = 1_000
-_DIGEST_BYTES = 16
-
-
-@unique
-class TraitKind(Enum):
-    """What requests with a common trait share."""
-
-    PROMPT_PART = "prompt_part"
-    # Service, team, method, target, body and prompt.
-    REQUEST = "request"
 
 
 # Crashes from which a trait is refused. Every request that ran on a crashed upstream is
@@ -59,65 +47,6 @@
 _CRASH_LIMITS = {TraitKind.PROMPT_PART: 2, TraitKind.REQUEST: 3}
 
 
-@dataclass(frozen=True, slots=True)
-class Trait:
-    """Property by which requests are recognised."""
-
-    kind: TraitKind
-    fingerprint: Fingerprint
-
-    def __str__(self) -> str:
-        return f"{self.kind.value}:{self.fingerprint}"
-
-
-@dataclass(frozen=True, slots=True)
-class RequestTraits:
-    """The traits of one request."""
-
-    request: Trait
-    prompt_parts: tuple[Trait, ...] = ()
-
-    def __iter__(self) -> Iterator[Trait]:
-        return iter((self.request, *self.prompt_parts))
-
-
-@unique
-class Finding(Enum):
-    """What a process found out about a trait."""
-
-    # Requests with the trait crashed upstreams, and none has succeeded since.
-    CRASHED = "crashed"
-    # A request with the trait has succeeded lately.
-    SOUND = "sound"
-    # The process refuses the trait because of the crashes of several others. A process
-    # that relies on such statements makes none, or processes would keep each other's
-    # refusals alive after the crashes have turned out to have another cause.
-    REFUSED = "refused"
-
-
-@dataclass(frozen=True, slots=True)
-class TraitStatement:
-    """Finding of one process, to be sent to the others."""
-
-    trait: Trait
-    finding: Finding
-    # Seconds; clocks of two processes cannot be compared.
-    expires_in_s: float
-    # Parts that every crashing request with the trait had and that explain the crashes
-    # as well. Requests without them are not refused, and show which part it is.
-    companions: frozenset[Trait] = frozenset()
-
-
-# Refused traits, each with the parts without which a request is not refused.
-RefusedTraits = dict[Trait, frozenset[Trait]]
-
-
-def refused_trait(traits: RequestTraits, refused: RefusedTraits) -> Trait | None:
-    """Return the trait for which a request is refused, if any."""
-    own = set(traits)
-    return next((t for t in traits if t in refused and refused[t] <= own), None)
-
-
 @dataclass(slots=True)
 class _Crashes:
     count: int
@@ -132,36 +61,6 @@
     companions: frozenset[Trait]
 
 
-def traits_of(
-    service: ServiceName,
-    team: TeamId | None,
-    method: bytes,
-    target: bytes,
-    body: bytes,
-    prompt_parts: tuple[PromptPartId, ...],
-) -> RequestTraits:
-    """Return the traits by which a request is recognised in all processes."""
-    fields = (service.encode(), (team or "").encode(), method, target, body)
-    parts = [part.encode() for part in prompt_parts]
-    return RequestTraits(
-        Trait(TraitKind.REQUEST, _fingerprint(*fields, *parts)),
-        tuple(
-            Trait(TraitKind.PROMPT_PART, _fingerprint(service.encode(), part))
-            for part in dict.fromkeys(parts)
-        ),
-    )
-
-
-def _fingerprint(*fields: bytes) -> Fingerprint:
-    # A cryptographic hash: a caller must not be able to choose a request or part that
-    # has the fingerprint of another one.
-    digest = blake2b(digest_size=_DIGEST_BYTES)
-    for field in fields:
-        digest.update(len(field).to_bytes(8))
-        digest.update(field)
-    return Fingerprint(digest.hexdigest())
-
-
 class Quarantine:
     """Findings of this process and of its peers, and the traits refused on them."""
 
--- a/packages/forwarding/src/sardineyard/forwarding/slot_messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/slot_messages.py
@@ -13,7 +13,7 @@
     from sardineyard.core.clock import Deadline
     from sardineyard.core.ids import ServiceName
     from sardineyard.forwarding.config import UpstreamEntry
-    from sardineyard.forwarding.quarantine import Trait
+    from sardineyard.forwarding.traits import Trait
 
 # Identifies a request for a slot from its arrival until the slot is released.
 TicketId = NewType("TicketId", int)
--- a/packages/forwarding/tests/test_quarantine.py
+++ b/packages/forwarding/tests/test_quarantine.py
@@ -11,18 +11,18 @@
 from sardineyard.forwarding.quarantine import (
     MAX_STATEMENTS,
     QUARANTINE_S,
-    Finding,
     PeerHost,
     Quarantine,
+)
+from sardineyard.forwarding.traits import (
+    Finding,
     TraitStatement,
     refused_trait,
     traits_of,
 )
 
 if TYPE_CHECKING:
-    from sardineyard.forwarding.quarantine import (
-        RequestTraits,
-    )
+    from sardineyard.forwarding.traits import RequestTraits
 
 
 def traits(*parts: str, body: bytes = b"") -> RequestTraits:
--- a/packages/forwarding/tests/test_quarantine_fleet.py
+++ b/packages/forwarding/tests/test_quarantine_fleet.py
@@ -11,21 +11,16 @@
 
 from sardineyard.core.clock import ManualClock
 from sardineyard.core.ids import PromptPartId, ServiceName
-from sardineyard.forwarding.quarantine import (
-    QUARANTINE_S,
+from sardineyard.forwarding.quarantine import QUARANTINE_S, PeerHost, Quarantine
+from sardineyard.forwarding.traits import (
     Finding,
-    PeerHost,
-    Quarantine,
     TraitStatement,
     refused_trait,
     traits_of,
 )
 
 if TYPE_CHECKING:
-    from sardineyard.forwarding.quarantine import (
-        RefusedTraits,
-        RequestTraits,
-    )
+    from sardineyard.forwarding.traits import RefusedTraits, RequestTraits
 
 # Further seeds are run by hand: SARDINEYARD_SEEDS=1000:1200.
 _FIRST, _, _LAST = os.environ.get("SARDINEYARD_SEEDS", "0:6").partition(":")
--- a/packages/gateway/src/sardineyard/gateway/context.py
+++ b/packages/gateway/src/sardineyard/gateway/context.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.events import EventDeduplicator
-    from sardineyard.forwarding.quarantine import RequestTraits
+    from sardineyard.forwarding.traits import RequestTraits
     from sardineyard.gateway.attempts import Progress
     from sardineyard.gateway.environment import Environment
     from sardineyard.httpio.acceptor import ResponseWriter
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -12,9 +12,9 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.budget import ServiceRetryBudget
 from sardineyard.forwarding.health import HealthTable
-from sardineyard.forwarding.quarantine import refused_trait
 from sardineyard.forwarding.slot_messages import QuarantineRefusal, SlotGrant
 from sardineyard.forwarding.slots import SlotAllocator
+from sardineyard.forwarding.traits import refused_trait
 from sardineyard.gateway.messages import (
     AcquireRetry,
     AcquireSlot,
@@ -37,8 +37,8 @@
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.budget import BudgetRules
     from sardineyard.forwarding.config import UpstreamEntry
-    from sardineyard.forwarding.quarantine import RefusedTraits
     from sardineyard.forwarding.slot_messages import SlotRefusal, TicketId
+    from sardineyard.forwarding.traits import RefusedTraits
     from sardineyard.telemetry.gateway_metrics import GatewayMetrics
 
 _logger = logging.getLogger(__name__)
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -9,7 +9,6 @@
 if TYPE_CHECKING:
     from sardineyard.core.ids import RequestId, ServiceName
     from sardineyard.core.mailbox import Mailbox, Reply
-    from sardineyard.forwarding.quarantine import RefusedTraits, RequestTraits
     from sardineyard.forwarding.slot_messages import (
         QuarantineRefusal,
         SlotGrant,
@@ -17,6 +16,7 @@
         SlotRequest,
         TicketId,
     )
+    from sardineyard.forwarding.traits import RefusedTraits, RequestTraits
     from sardineyard.gateway.state import GatewayDump
 
 
--- a/packages/gateway/src/sardineyard/gateway/quarantine.py
+++ b/packages/gateway/src/sardineyard/gateway/quarantine.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
-    from sardineyard.forwarding.quarantine import RefusedTraits, TraitStatement
+    from sardineyard.forwarding.traits import RefusedTraits, TraitStatement
 
 _logger = logging.getLogger(__name__)
 
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -11,7 +11,7 @@
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.events import EventDeduplicator
 from sardineyard.forwarding.messages import ForwardedMetadata
-from sardineyard.forwarding.quarantine import QUARANTINE_S, traits_of
+from sardineyard.forwarding.quarantine import QUARANTINE_S
 from sardineyard.forwarding.slot_messages import (
     RETRY_AFTER_FRACTION,
     QuarantineRefusal,
@@ -20,6 +20,7 @@
     SlotRequest,
     TicketId,
 )
+from sardineyard.forwarding.traits import traits_of
 from sardineyard.gateway.attempts import CallOutcome, NextAction, Progress
 from sardineyard.gateway.call import UpstreamCall
 from sardineyard.gateway.context import RequestContext
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -37,7 +37,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from sardineyard.forwarding.quarantine import TraitStatement
+    from sardineyard.forwarding.traits import TraitStatement
     from sardineyard.standins.gateway_doubles import (
         UpstreamConnection,
     )
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sardineyard.core.ids import PromptPartId, ServiceName
-from sardineyard.forwarding.quarantine import Finding, TraitStatement, traits_of
+from sardineyard.forwarding.traits import Finding, TraitStatement, traits_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/gateway/tests/test_quarantine_keeper.py
+++ b/packages/gateway/tests/test_quarantine_keeper.py
@@ -8,12 +8,13 @@
 from sardineyard.core.clock import ManualClock
 from sardineyard.core.ids import PromptPartId, RequestId, ServiceName
 from sardineyard.core.mailbox import Mailbox
-from sardineyard.forwarding.quarantine import QUARANTINE_S, traits_of
+from sardineyard.forwarding.quarantine import QUARANTINE_S
+from sardineyard.forwarding.traits import traits_of
 from sardineyard.gateway.messages import RequestStarted, UpstreamCrashed
 from sardineyard.gateway.quarantine import QuarantineKeeper
 
 if TYPE_CHECKING:
-    from sardineyard.forwarding.quarantine import RequestTraits
+    from sardineyard.forwarding.traits import RequestTraits
 
 
 def traits(*parts: str) -> RequestTraits:
