--- a/packages/httpio/src/sardineyard/httpio/client.py
+++ b/packages/httpio/src/sardineyard/httpio/client.py
@@ -8,7 +8,6 @@
 import h11
 
 from sardineyard.httpio.messages import HttpResponse
-from sardineyard.httpio.socket_stream import connect
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -16,11 +15,9 @@
 
     from sardineyard.core.address import Address
     from sardineyard.httpio.messages import HttpRequest
-    from sardineyard.httpio.socket_stream import SocketStream
 
+_READ_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 1.0
-# Time for one write, after which a server that reads too slowly is given up.
-_WRITE_TIMEOUT_S = 10.0
 
 
 class ResponseError(Exception):
@@ -30,25 +27,29 @@
 class ClientConnection:
     """Connection to a server, which carries one exchange at a time."""
 
-    def __init__(self, stream: SocketStream, host: str) -> None:
-        self._stream = stream
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
         self._host = host
         self._http = h11.Connection(h11.CLIENT)
 
     @classmethod
     async def open(cls, address: Address) -> ClientConnection:
         """Connect to an address; raise OSError or TimeoutError."""
-        return cls(await connect(address, _CONNECT_TIMEOUT_S), str(address))
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+        return cls(reader, writer, str(address))
 
     @property
     def reusable(self) -> bool:
-        """Return whether the last exchange is complete and no more bytes arrived."""
+        """Return whether the last exchange is complete and the connection open."""
         return (
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
-            and not self._http.trailing_data[0]
-            and self._stream.is_open
-            and not self._stream.has_input
+            and not self._writer.is_closing()
+            and not self._reader.at_eof()
         )
 
     async def __aenter__(self) -> ClientConnection:
@@ -82,8 +83,8 @@
                 headers=list(headers.items()),
             )
         )
-        self._stream.write((data or b"") + self._encode_body(request.body))
-        await self._stream.flush(_WRITE_TIMEOUT_S)
+        self._writer.write((data or b"") + self._encode_body(request.body))
+        await self._writer.drain()
 
     async def receive_head(self) -> HttpResponse:
         """Wait for the response head; the body of the returned value is empty."""
@@ -111,7 +112,7 @@
 
     def close(self) -> None:
         """Close the socket."""
-        self._stream.close()
+        self._writer.close()
 
     def _encode_body(self, body: bytes) -> bytes:
         data = self._http.send(h11.Data(data=body)) or b"" if body else b""
@@ -125,7 +126,7 @@
                 raise ResponseError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._http.receive_data(await self._stream.receive())
+            self._http.receive_data(await self._reader.read(_READ_BYTES))
 
 
 async def fetch(
