--- a/packages/httpio/src/sardineyard/httpio/client.py
+++ b/packages/httpio/src/sardineyard/httpio/client.py
@@ -8,6 +8,7 @@
 import h11
 
 from sardineyard.httpio.messages import HttpResponse
+from sardineyard.httpio.socket_stream import connect
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -15,9 +16,11 @@
 
     from sardineyard.core.address import Address
     from sardineyard.httpio.messages import HttpRequest
+    from sardineyard.httpio.socket_stream import SocketStream
 
-_READ_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 1.0
+# Time for one write, after which a server that reads too slowly is given up.
+_WRITE_TIMEOUT_S = 10.0
 
 
 class ResponseError(Exception):
@@ -27,29 +30,25 @@
 class ClientConnection:
     """Connection to a server, which carries one exchange at a time."""
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
+    def __init__(self, stream: SocketStream, host: str) -> None:
+        self._stream = stream
         self._host = host
         self._http = h11.Connection(h11.CLIENT)
 
     @classmethod
     async def open(cls, address: Address) -> ClientConnection:
         """Connect to an address; raise OSError or TimeoutError."""
-        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(address.host, address.port)
-        return cls(reader, writer, str(address))
+        return cls(await connect(address, _CONNECT_TIMEOUT_S), str(address))
 
     @property
     def reusable(self) -> bool:
-        """Return whether the last exchange is complete and the connection open."""
+        """Return whether the last exchange is complete and no more bytes arrived."""
         return (
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
-            and not self._writer.is_closing()
-            and not self._reader.at_eof()
+            and not self._http.trailing_data[0]
+            and self._stream.is_open
+            and not self._stream.has_input
         )
 
     async def __aenter__(self) -> ClientConnection:
@@ -83,8 +82,8 @@
                 headers=list(headers.items()),
             )
         )
-        self._writer.write((data or b"") + self._encode_body(request.body))
-        await self._writer.drain()
+        self._stream.write((data or b"") + self._encode_body(request.body))
+        await self._stream.flush(_WRITE_TIMEOUT_S)
 
     async def receive_head(self) -> HttpResponse:
         """Wait for the response head; the body of the returned value is empty."""
@@ -112,7 +111,7 @@
 
     def close(self) -> None:
         """Close the socket."""
-        self._writer.close()
+        self._stream.close()
 
     def _encode_body(self, body: bytes) -> bytes:
         data = self._http.send(h11.Data(data=body)) or b"" if body else b""
@@ -126,7 +125,7 @@
                 raise ResponseError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._http.receive_data(await self._reader.read(_READ_BYTES))
+            self._http.receive_data(await self._stream.receive())
 
 
 async def fetch(
--- a/packages/httpio/src/sardineyard/httpio/server.py
+++ b/packages/httpio/src/sardineyard/httpio/server.py
@@ -11,7 +11,6 @@
 
 from sardineyard.core.errors import ErrorKind
 from sardineyard.httpio.exchange import Exchange
-from sardineyard.httpio.listener import FIRST_REQUEST_GRACE_S, Listener
 from sardineyard.httpio.messages import HttpRequest
 
 if TYPE_CHECKING:
@@ -25,7 +24,6 @@
 RefusalHandler: TypeAlias = Callable[[ErrorKind, str, Exchange], Awaitable[None]]
 
 _READ_BYTES = 65_536
-_BACKLOG = 1024
 
 
 class _RefusedError(Exception):
@@ -47,21 +45,23 @@
         refuse: RefusalHandler,
         limits: HttpLimits,
     ) -> None:
-        self._listener = Listener(address, _BACKLOG, self._new_protocol)
+        self._address = address
         self._handler = handler
         self._refuse = refuse
         self._limits = limits
         self._connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
 
     @property
     def open_connections(self) -> int:
         """Return the number of open connections."""
-        return len(self._connections) + self._listener.accepting
+        return len(self._connections)
 
     @property
     def port(self) -> int:
         """Return the port on which the server listens."""
-        return self._listener.port
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
 
     def use_limits(self, limits: HttpLimits) -> None:
         """Set the limits of connections that are accepted from now on."""
@@ -69,11 +69,14 @@
 
     async def start(self) -> None:
         """Start listening."""
-        await self._listener.start()
+        self._server = await asyncio.start_server(
+            self._accept, self._address.host, self._address.port, backlog=1024
+        )
 
     async def stop_listening(self) -> None:
         """Stop accepting connections and close the idle ones."""
-        self._listener.close()
+        if self._server is not None:
+            self._server.close()
         for connection in list(self._connections):
             connection.drain()
 
@@ -83,9 +86,6 @@
         for connection in list(self._connections):
             connection.abort()
 
-    def _new_protocol(self) -> asyncio.StreamReaderProtocol:
-        return asyncio.StreamReaderProtocol(asyncio.StreamReader(), self._accept)
-
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -96,10 +96,6 @@
             reader, writer, self._handler, self._refuse, self._limits
         )
         self._connections.add(connection)
-        if self._listener.is_closed:
-            asyncio.get_running_loop().call_later(
-                FIRST_REQUEST_GRACE_S, connection.drain
-            )
         try:
             await connection.run()
         finally:
@@ -125,24 +121,19 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
         )
-        # Whether no byte of the next request has been read yet.
-        self._is_idle = True
+        self._busy = False
         self._draining = False
 
     def drain(self) -> None:
         """Close the connection after the request in progress, if any."""
         self._draining = True
-        # Bytes that were received just now are read in the next pass of the event loop.
-        asyncio.get_running_loop().call_soon(self._close_if_idle)
+        if not self._busy:
+            self._writer.close()
 
     def abort(self) -> None:
         """Abort the connection."""
         self._writer.transport.abort()
 
-    def _close_if_idle(self) -> None:
-        if self._is_idle:
-            self._writer.close()
-
     async def run(self) -> None:
         """Serve requests until the connection ends."""
         try:
@@ -168,7 +159,11 @@
             return False
         if request is None:
             return False
-        await self._run_handler(request, exchange)
+        self._busy = True
+        try:
+            await self._run_handler(request, exchange)
+        finally:
+            self._busy = False
         if not exchange.finished:
             self.abort()
             return False
@@ -199,7 +194,6 @@
         await asyncio.get_running_loop().create_future()
 
     async def _read_request(self) -> HttpRequest | None:
-        self._is_idle = not self._http.trailing_data[0]
         try:
             async with asyncio.timeout(self._limits.idle_timeout_s):
                 if self._http.trailing_data[0] == b"":
@@ -209,7 +203,6 @@
                     self._http.receive_data(first)
         except TimeoutError:
             return None
-        self._is_idle = False
         head = await self._read_head()
         if head is None:
             return None
