--- a/packages/catalog/src/sardineyard/catalog/follower.py
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -102,6 +102,8 @@
                     "what": self._subject,
                     "failure": error.failure.value,
                     "reason": str(error),
+                    # Time since the start of the failed call.
+                    "waited_s": round(self._clock.now() - self._call_started_at, 3),
                 },
             )
         bound = min(_MAX_BACKOFF_S, _INITIAL_BACKOFF_S * 2**self._failures)
--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -155,6 +155,7 @@
         peer = self._get_or_add(address)
         if peer is not None and not peer.is_busy and not self._is_requesting:
             self._is_requesting = True
+            _log_peer("peer_update_requested", address)
             self._start_call(peer, self._request_update(peer))
 
     def record_sender(self, update: PeerUpdate) -> None:
@@ -244,6 +245,7 @@
     async def _exchange_with(self, peer: _Peer, timeout_s: float) -> None:
         reply: Reply[PeerUpdate] = Reply()
         self._keeper.post(PrepareExchange(reply))
+        connection = "new" if peer.channel is None else "kept"
         try:
             update = self.with_members(await reply.wait())
             if peer.channel is None:
@@ -260,7 +262,7 @@
             # Any error closes the channel, as a stalled connection does not recover.
             _close_channel(peer)
             if self._clock.now() - peer.last_received_at < self._silence_timeout_s:
-                _log_peer("peer_call_failed", peer.address, repr(error))
+                _log_peer("peer_call_failed", peer.address, repr(error), connection)
         else:
             self.record_sender(peer_reply)
             self._keeper.post(PeerUpdateReceived(peer_reply))
@@ -274,7 +276,13 @@
         peer.channel = None
 
 
-def _log_peer(event: str, address: str, reason: str = "") -> None:
+def _log_peer(event: str, address: str, reason: str = "", connection: str = "") -> None:
     _logger.info(
-        "peer exchange event", extra={"event": event, "peer": address, "reason": reason}
+        "peer exchange event",
+        extra={
+            "event": event,
+            "peer": address,
+            "reason": reason,
+            "connection": connection,
+        },
     )
