Do not wait for the store on a connection that has gone silent

Cause: a watch waited up to 6.5 s, and one more, on a connection that carries nothing any more. After a change all watches start at the same moment, so none ends earlier. store_lost of every gateway that was late shows a time-out after 4.9 to 6.8 s, and the call that followed on a new connection brought the change in less than 0.1 s. Slow calls are ruled out by that; the share of the peers is another fault and not repaired here.

Change: connections to the store are probed by the operating system each second, and TCP_USER_TIMEOUT covers a call that is sent into the silence. A silent connection is lost after two seconds; an in-time change needs three. Shorter watches would multiply the calls, which are billed.

--- a/packages/httpio/src/sardineyard/httpio/call.py
+++ b/packages/httpio/src/sardineyard/httpio/call.py
@@ -62,12 +62,14 @@
         address: Address,
         timeout_s: float = CONNECT_TIMEOUT_S,
         budget: BufferBudget | None = None,
+        *,
+        probes_peer: bool = False,
     ) -> CallConnection:
         """Connect to an address; raise OSError or TimeoutError.
 
         Bodies count against the budget until the next exchange or the close.
         """
-        stream = await connect(address, timeout_s)
+        stream = await connect(address, timeout_s, probes_peer=probes_peer)
         return cls(stream, str(address).encode(), budget)
 
     @property
@@ -215,10 +217,21 @@
 
 
 class CallClient:
-    """Client that makes calls to one server over one persistent connection."""
+    """Client that makes calls to one server over one persistent connection.
 
-    def __init__(self, address: Address, max_body_bytes: int = _MAX_BODY_BYTES) -> None:
+    With `probes_peer`, a call fails about two seconds after the connection has gone
+    silent, however long its response may take.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        max_body_bytes: int = _MAX_BODY_BYTES,
+        *,
+        probes_peer: bool = False,
+    ) -> None:
         self._address = address
+        self._probes_peer = probes_peer
         self._max_body_bytes = max_body_bytes
         self._connection: CallConnection | None = None
 
@@ -233,7 +246,9 @@
         self._connection = None
         if connection is None or not connection.is_reusable:
             self._discard(connection)
-            connection = await CallConnection.open(self._address)
+            connection = await CallConnection.open(
+                self._address, probes_peer=self._probes_peer
+            )
         headers = [(b"content-type", content_type.encode())] if content_type else []
         try:
             connection.send(method.encode(), target.encode(), headers, body)
--- a/packages/httpio/src/sardineyard/httpio/socket_stream.py
+++ b/packages/httpio/src/sardineyard/httpio/socket_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING, cast
 
 if TYPE_CHECKING:
@@ -12,6 +13,11 @@
 
 _READ_HIGH_WATER_BYTES = 65_536
 _WRITE_HIGH_WATER_BYTES = 65_536
+# Interval, in seconds, between the keep-alive probes of a connection on which nothing
+# arrives, and the silence after which the second of them ends it. One second is the
+# shortest interval of the operating system.
+_PROBE_INTERVAL_S = 1
+_MAX_SILENCE_S = 1.5
 
 
 class SocketStream(asyncio.Protocol):
@@ -136,11 +142,30 @@
         self.ended.set()
 
 
-async def connect(address: Address, timeout_s: float) -> SocketStream:
-    """Connect to an address; raise OSError or TimeoutError."""
+async def connect(
+    address: Address, timeout_s: float, *, probes_peer: bool = False
+) -> SocketStream:
+    """Connect to an address; raise OSError or TimeoutError.
+
+    With `probes_peer`, a connection that goes silent is lost after two seconds.
+    """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
-        _, stream = await loop.create_connection(
+        transport, stream = await loop.create_connection(
             SocketStream, address.host, address.port
         )
+    if probes_peer:
+        _start_probes(transport.get_extra_info("socket"))
     return stream
+
+
+def _start_probes(sock: socket.socket) -> None:
+    """Let the operating system end a connection whose peer acknowledges nothing."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+    # Also holds for sent bytes, which suspend the probes until they are acknowledged.
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(_MAX_SILENCE_S * 1000)
+    )
