Ask a peer for a newer version over a new connection

Callers saw: after silent connections had been noticed and one gateway had the change, others still served a revoked key for a second more.

Cause: the exchange that a newer version in a beacon starts used the connection that was kept for exchanges. Where that had gone silent, the exchange waited for its timeout of a second and held the only slot for such an exchange meanwhile; the next peer's connection may be silent too. The logs show it: peer_update_requested without config_adopted, then peer_call_failed on a kept connection a second later.

Change: such an exchange opens its own connection. Regular exchanges keep theirs; each that fails closes it, as before.

Test: test_peers.py, with a proxy whose connections go silent, failed before with the time-out of one second.

--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -237,6 +237,8 @@
         task.add_done_callback(self._calls.discard)
 
     async def _request_update(self, peer: _Peer) -> None:
+        # A connection that was kept may have gone silent, which only a timeout shows.
+        _close_channel(peer)
         try:
             await self._exchange_with(peer, _UPDATE_TIMEOUT_S)
         finally:
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -24,6 +24,7 @@
 from sardineyard.forwarding.config import ForwardingConfig
 from sardineyard.forwarding.store import StoreFailure
 from sardineyard.forwarding.traits import Finding, TraitStatement, traits_of
+from sardineyard.standins.blackhole_proxy import BlackholeProxy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -206,3 +207,44 @@
             server.close()
 
     run_with_catalogs(test, "")
+
+
+def test_newer_version_is_not_requested_over_a_connection_that_has_gone_silent(
+    run_with_catalogs: Callable[..., None],
+) -> None:
+    """Guards against a revoked key in use while a peer has announced its removal.
+
+    The test allows the second that remains of the three for a change when the silence
+    of the connection to the store was noticed after two.
+    """
+    port = free_port()
+
+    async def test(ahead: Any, behind: Any) -> None:
+        exchanges = [
+            PeerExchange(
+                catalog.keeper.mailbox, address, (), catalog.clock, Random(1), 0.05
+            )
+            for catalog, address in ((ahead, f"127.0.0.1:{port}"), (behind, ""))
+        ]
+        server = Server(
+            [PeerService(ahead.keeper.mailbox, exchanges[0])], codec=MessagePackCodec()
+        )
+        await server.start("127.0.0.1", port)
+        proxy = BlackholeProxy(Address("127.0.0.1", port))
+        await proxy.start()
+        for catalog in (ahead, behind):
+            catalog.start(watches_store=catalog is ahead)
+        for version in (4, 5):
+            await ahead.store.put_config(ForwardingConfig(version, (), {}, ()))
+            await ahead.wait_until(
+                lambda version=version: ahead.keeper.versions[0] == version
+            )
+            exchanges[1].request_update(str(proxy.address))
+            async with asyncio.timeout(1.0):
+                while behind.keeper.versions[0] != version:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+            proxy.blackhole_open()
+        proxy.close_blackholed()
+        server.close()
+
+    run_with_catalogs(test, f"127.0.0.1:{port}", "")
