Send a newer configuration to a peer that turns out to be behind

Callers saw: while the store refused the gateways, a revoked key stayed in use until the store took them back, though all rebalancers knew of the removal.

Cause: in an exchange only the called process answers with what the other one lacks. A rebalancer calls the gateways and has no address at which a gateway could ask, so what it alone knows stayed with it.

Change: the caller of an exchange sends a second update when the reply shows an older configuration. Beacons tell the other gateways as before.

Test: test_peers.py, failed before with its time-out of one second (the gateway never got the version).

--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -113,7 +113,7 @@
 
     @_handle.register(PrepareExchange)
     def _prepare_exchange(self, message: PrepareExchange) -> None:
-        message.reply.send(self._build_update())
+        message.reply.send(self._build_update(message.receiver))
 
     @_handle.register(PeerUpdateReceived)
     def _peer_update_received(self, message: PeerUpdateReceived) -> None:
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -62,6 +62,8 @@
     """Request for the update that opens an exchange with a peer."""
 
     reply: Reply[PeerUpdate]
+    # Last update of the peer, so that this one has what the peer lacks.
+    receiver: PeerUpdate | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -245,32 +245,39 @@
             self._is_requesting = False
 
     async def _exchange_with(self, peer: _Peer, timeout_s: float) -> None:
-        reply: Reply[PeerUpdate] = Reply()
-        self._keeper.post(PrepareExchange(reply))
         connection = "new" if peer.channel is None else "kept"
         try:
-            update = self.with_members(await reply.wait())
-            if peer.channel is None:
-                address = parse_address(peer.address)
-                peer.channel = Channel(
-                    address.host, address.port, codec=MessagePackCodec()
-                )
-            method = UnaryUnaryMethod(
-                peer.channel, EXCHANGE_METHOD, PeerUpdate, PeerUpdate
-            )
-            async with asyncio.timeout(timeout_s):
-                peer_reply: PeerUpdate = await method(update)
+            update = await self._prepare_update()
+            peer_reply = await self._call(peer, update, timeout_s)
+            self.record_sender(peer_reply)
+            self._keeper.post(PeerUpdateReceived(peer_reply))
+            if peer_reply.config_version < update.config_version:
+                # The peer cannot ask a process without an address for it.
+                newer = await self._prepare_update(receiver=peer_reply)
+                await self._call(peer, newer, _UPDATE_TIMEOUT_S)
         except CALL_ERRORS as error:
             # Any error closes the channel, as a stalled connection does not recover.
             _close_channel(peer)
             if self._clock.now() - peer.last_received_at < self._silence_timeout_s:
                 _log_peer("peer_call_failed", peer.address, repr(error), connection)
-        else:
-            self.record_sender(peer_reply)
-            self._keeper.post(PeerUpdateReceived(peer_reply))
         finally:
             peer.is_busy = False
 
+    async def _prepare_update(self, receiver: PeerUpdate | None = None) -> PeerUpdate:
+        reply: Reply[PeerUpdate] = Reply()
+        self._keeper.post(PrepareExchange(reply, receiver))
+        return self.with_members(await reply.wait())
+
+    async def _call(
+        self, peer: _Peer, update: PeerUpdate, timeout_s: float
+    ) -> PeerUpdate:
+        if peer.channel is None:
+            address = parse_address(peer.address)
+            peer.channel = Channel(address.host, address.port, codec=MessagePackCodec())
+        method = UnaryUnaryMethod(peer.channel, EXCHANGE_METHOD, PeerUpdate, PeerUpdate)
+        async with asyncio.timeout(timeout_s):
+            return await method(update)
+
 
 def _close_channel(peer: _Peer) -> None:
     if peer.channel is not None:
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -248,3 +248,40 @@
         server.close()
 
     run_with_catalogs(test, f"127.0.0.1:{port}", "")
+
+
+def test_called_process_gets_the_newer_configuration_of_its_caller(
+    run_with_catalogs: Callable[..., None],
+) -> None:
+    """Guards against gateways that use a revoked key while all rebalancers know.
+
+    Rebalancers call the gateways and have no address at which to be asked.
+    """
+    port = free_port()
+
+    async def test(ahead: Any, behind: Any) -> None:
+        gateway = f"127.0.0.1:{port}"
+        callee, caller = (
+            PeerExchange(
+                catalog.keeper.mailbox, address, seeds, catalog.clock, Random(1), 0.05
+            )
+            for catalog, address, seeds in (
+                (behind, gateway, ()),
+                (ahead, "", (gateway,)),
+            )
+        )
+        server = Server(
+            [PeerService(behind.keeper.mailbox, callee)], codec=MessagePackCodec()
+        )
+        await server.start("127.0.0.1", port)
+        for catalog in (ahead, behind):
+            catalog.start(watches_store=catalog is ahead)
+        ahead.tasks.start("peers", caller.run())
+        for version in (4, 5):
+            await ahead.store.put_config(ForwardingConfig(version, (), {}, ()))
+            async with asyncio.timeout(1.0):
+                while behind.keeper.versions[0] != version:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+        server.close()
+
+    run_with_catalogs(test, "", f"127.0.0.1:{port}")
