Decode and log the request limit that a runner names

Observability for the requests beyond a runner's limit (docs/incidents/runner-request-limit.md): lines on calls have the limit that the answer named. Nothing acts on it yet.

--- a/packages/forwarding/src/sardineyard/forwarding/messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/messages.py
@@ -54,6 +54,9 @@
     request_id: str = ""
     # Upstream named as the cause of a refusal; empty if none is named.
     faulty_upstream: str = ""
+    # Requests a second that the upstream takes from all gateways together, while it
+    # says so; None without such a limit.
+    request_limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -282,6 +282,9 @@
                 "faulty_upstream": response_metadata.faulty_upstream
                 if response_metadata
                 else "",
+                "request_limit_per_s": response_metadata.request_limit_per_s
+                if response_metadata
+                else None,
                 "events": self._context.events.count,
                 "call_events": stream.event_count if stream else 0,
                 "prompt_parts": self._admitted.metadata.shared_prompt_parts,
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -168,12 +168,14 @@
 
     def read_response(self, status: int, headers: HeaderList) -> ResponseMetadata:
         """Return the metadata of a response."""
+        limit = find(headers, b"x-limit")
         return ResponseMetadata(
             status=status,
             is_not_run=bool(find(headers, b"x-not-run")),
             is_sealed=bool(find(headers, b"x-seal")),
             has_content_encoding=bool(find(headers, b"content-encoding")),
             request_id=find(headers, b"x-id").decode(),
+            request_limit_per_s=float(limit) if limit else None,
         )
 
     def refusal_headers(
