Keep the requests of all gateways within the limit that a runner names

Cause: nothing read the field; a runner got the same share of the load as before. Grants to it were 2.5 a second before, during and after the limit. That each gateway keeps a limit for itself, and retries beside it, could not be the cause, as no limit was kept at all; both would have followed.

Change: each gateway counts its own requests to such a runner and those that the others state by datagram each 0.1 s. What the limit leaves is drawn by chance among the gateways at each update, since a fixed share for each would add up to a burst of one request a gateway. Retries and resumed streams count as well. A limit ends with the first answer that names none. Requests that the limits of all runners of a service leave no time for are refused at once.

--- a/packages/catalog/src/sardineyard/catalog/beacons.py
+++ b/packages/catalog/src/sardineyard/catalog/beacons.py
@@ -1,4 +1,4 @@
-"""UDP datagrams with the load of the gateways and with warnings of slow upstreams.
+"""UDP datagrams with the load of the gateways and what they know of upstreams.
 
 The next datagram makes up for a lost one. Datagrams need no connection, so no stalled
 connection can hold back an update.
@@ -10,14 +10,15 @@
 import logging
 from functools import singledispatchmethod
 from statistics import median
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, TypeVar, cast
 
 import msgspec
 
-from sardineyard.catalog.messages import PeerLoads, PeerStatements
+from sardineyard.catalog.messages import PeerLimits, PeerLoads, PeerStatements
 from sardineyard.core.address import parse_address
 from sardineyard.core.clock import Deadline, deadline_after
 from sardineyard.forwarding.quarantine import PeerHost
+from sardineyard.forwarding.rate_limits import LimitStatement
 from sardineyard.forwarding.traits import TraitStatement
 
 if TYPE_CHECKING:
@@ -29,6 +30,8 @@
 
 _logger = logging.getLogger(__name__)
 
+Statement = TypeVar("Statement")
+
 # Interval between two beacons, in seconds. Gateways that do not know each other's
 # newest requests choose the same upstream, where one of them waits for a slot.
 _BEACON_INTERVAL_S = 0.1
@@ -74,6 +77,12 @@
     statements: tuple[TraitStatement, ...]
 
 
+class UpstreamLimits(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Datagram with the rate limits of upstreams and the requests sent to these."""
+
+    statements: tuple[LimitStatement, ...]
+
+
 class BeaconSocket(asyncio.DatagramProtocol):
     """Owner of the socket on which a gateway sends and receives beacons."""
 
@@ -88,6 +97,7 @@
         versions: Callable[[], tuple[int, int]],
         on_newer_version: Callable[[str], None],
         trait_statements: Callable[[], tuple[TraitStatement, ...]],
+        limit_statements: Callable[[], tuple[LimitStatement, ...]],
     ) -> None:
         self._local_address = local_address
         self._beacon_address = beacon_address
@@ -98,6 +108,7 @@
         self._versions = versions
         self._on_newer_version = on_newer_version
         self._trait_statements = trait_statements
+        self._limit_statements = limit_statements
         self._sent_findings: set[tuple[object, object]] = set()
         self._repeat_findings_at = Deadline(0.0)
         self._transport: asyncio.DatagramTransport | None = None
@@ -125,6 +136,7 @@
                 number += 1
                 self._send(number, started)
                 self._send_findings()
+                self._send_limits()
                 self._publish()
                 await asyncio.sleep(_BEACON_INTERVAL_S)
         finally:
@@ -139,7 +151,7 @@
         """Handle one datagram (called by asyncio)."""
         try:
             message = msgspec.msgpack.decode(
-                data, type=Beacon | UpstreamSlow | TraitFindings
+                data, type=Beacon | UpstreamSlow | TraitFindings | UpstreamLimits
             )
         except msgspec.DecodeError as error:
             _logger.warning(
@@ -171,6 +183,11 @@
         for subscriber in self._findings_subscribers:
             subscriber.offer(PeerStatements(PeerHost(host), message.statements))
 
+    @_handle.register(UpstreamLimits)
+    def _handle_limits(self, message: UpstreamLimits, host: str) -> None:
+        for subscriber in self._subscribers:
+            subscriber.offer(PeerLimits(PeerHost(host), message.statements))
+
     @_handle.register(Beacon)
     def _handle_beacon(self, beacon: Beacon, host: str) -> None:
         known = self._received.get(beacon.address)
@@ -211,11 +228,23 @@
             return
         self._sent_findings = findings
         self._repeat_findings_at = deadline_after(self._clock, _REPEAT_INTERVAL_S)
-        data = msgspec.msgpack.encode(TraitFindings(statements))
+        self._send_statements(TraitFindings, statements)
+
+    def _send_limits(self) -> None:
+        # Sent with each beacon: the limits bound the requests of all gateways together.
+        if statements := self._limit_statements():
+            self._send_statements(UpstreamLimits, statements)
+
+    def _send_statements(
+        self,
+        datagram: Callable[[tuple[Statement, ...]], object],
+        statements: tuple[Statement, ...],
+    ) -> None:
+        """Send as many statements as fit; the most important ones come first."""
+        data = msgspec.msgpack.encode(datagram(statements))
         while len(data) > _MAX_DATAGRAM_BYTES:
-            # The most important statements come first.
             statements = statements[: len(statements) // 2]
-            data = msgspec.msgpack.encode(TraitFindings(statements))
+            data = msgspec.msgpack.encode(datagram(statements))
         self._send_to_peers(data)
 
     def _send_to_peers(self, data: bytes) -> None:
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -12,6 +12,7 @@
     from sardineyard.core.mailbox import Reply
     from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
     from sardineyard.forwarding.quarantine import PeerHost
+    from sardineyard.forwarding.rate_limits import LimitStatement
     from sardineyard.forwarding.store import (
         StoredConfig,
         UpstreamChanges,
@@ -128,6 +129,14 @@
     statements: tuple[TraitStatement, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLimits:
+    """Message to subscribers with what another gateway knows of rate limits."""
+
+    peer: PeerHost
+    statements: tuple[LimitStatement, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class DumpCatalog:
     """Request for the state of the catalog."""
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -99,6 +99,7 @@
                 lambda index=index: (index, 0),
                 newer_peers.append,
                 tuple,
+                tuple,
             )
             beacons.subscribe(mailboxes[index])
             catalog.tasks.start(host, beacons.run())
@@ -140,6 +141,7 @@
                 lambda: (0, 0),
                 lambda _: None,
                 lambda stated=stated: stated,
+                tuple,
             )
             if not stated:
                 beacons.subscribe_findings(received)
--- a/packages/forwarding/src/sardineyard/forwarding/slots.py
+++ b/packages/forwarding/src/sardineyard/forwarding/slots.py
@@ -8,6 +8,7 @@
 from sardineyard.core.clock import remaining
 from sardineyard.forwarding.config import ServiceProfile
 from sardineyard.forwarding.passes import PassModel
+from sardineyard.forwarding.rate_limits import UpstreamRateLimits
 from sardineyard.forwarding.slot_messages import (
     RETRY_AFTER_FRACTION,
     RefusalReason,
@@ -115,8 +116,14 @@
         # Service and upstream of each granted slot.
         self._granted: dict[TicketId, tuple[ServiceName, str]] = {}
         self._services: dict[ServiceName, ServiceLoad] = {}
+        self._rate_limits = UpstreamRateLimits(clock, rng)
         self._processes = 1
 
+    @property
+    def rate_limits(self) -> UpstreamRateLimits:
+        """Return the limits that single upstreams named."""
+        return self._rate_limits
+
     @property
     def local_in_flight(self) -> dict[str, int]:
         """Return the in-flight requests of this process by upstream."""
@@ -161,6 +168,7 @@
         """
         self._peer_in_flight = peer_in_flight
         self._processes = max(1, processes)
+        self._rate_limits.update_credits(self._processes)
         for service, load in self._services.items():
             if load.model is not None and service in pass_factors:
                 load.model.set_peer_factor(pass_factors[service])
@@ -212,7 +220,7 @@
 
     def limit(self, service: ServiceName, upstreams: Sequence[UpstreamEntry]) -> float:
         """Return the number of requests that the service may run concurrently."""
-        slots = sum(upstream.slots for upstream in upstreams)
+        slots = sum(self._usable_slots(upstream) for upstream in upstreams)
         load = self._services.get(service)
         if load is None or load.model is None:
             return slots + _QUEUED_AT_UPSTREAM * len(upstreams)
@@ -313,7 +321,12 @@
             return None
         # Upstreams that already failed this request are used only if there is no other.
         candidates = [u for u in upstreams if u.id not in request.excluded] or upstreams
-        free = [u for u in candidates if self.in_flight(u.id) < u.slots + queued]
+        free = [
+            upstream
+            for upstream in candidates
+            if self.in_flight(upstream.id) < upstream.slots + queued
+            and self._rate_limits.may_send(upstream.id)
+        ]
         if not free:
             return None
         sampled = self._rng.sample(free, min(len(free), _SAMPLED_UPSTREAMS))
@@ -323,6 +336,12 @@
     def _total_in_flight(self, upstreams: Sequence[UpstreamEntry]) -> int:
         return sum(self.in_flight(upstream.id) for upstream in upstreams)
 
+    def _usable_slots(self, upstream: UpstreamEntry) -> int:
+        """Return the slots of an upstream without those that its rate limit bars."""
+        if self._rate_limits.may_send(upstream.id):
+            return upstream.slots
+        return min(upstream.slots, self.in_flight(upstream.id))
+
     def _cost(self, upstream: UpstreamEntry) -> float:
         is_other_domain = upstream.failure_domain != self._domain
         return (
@@ -335,6 +354,7 @@
         upstream = slot.upstream.id
         self._local_in_flight[upstream] = self._local_in_flight.get(upstream, 0) + 1
         self._granted[request.ticket] = (request.service, upstream)
+        self._rate_limits.record_sent(upstream)
         load = self._services[request.service]
         load.credit -= 1.0
         load.late_credit -= slot.is_late
@@ -357,7 +377,7 @@
             reason = (
                 RefusalReason.OVERLOADED if upstreams else RefusalReason.NO_UPSTREAM
             )
-        elif ahead >= max_waiting:
+        elif ahead >= max_waiting or self._is_beyond_rate(request, upstreams, ahead):
             reason = RefusalReason.OVERLOADED
         else:
             return None
@@ -370,6 +390,16 @@
             self._is_late(request),
         )
 
+    def _is_beyond_rate(
+        self, request: SlotRequest, upstreams: Sequence[UpstreamEntry], ahead: int
+    ) -> bool:
+        """Return whether the rate limits leave no request for this one in time."""
+        rate = self._rate_limits.total_rate_per_s([u.id for u in upstreams])
+        if rate is None:
+            return False
+        wait_s = ahead * self._processes / rate
+        return self._clock.now() + wait_s > self._refuse_at(request)
+
     def _refuse_at(self, request: SlotRequest) -> float:
         total_s = request.deadline - request.arrived
         if request.target_event_gap_s > 0:
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -14,6 +14,7 @@
 from sardineyard.gateway.messages import (
     CallEnded,
     CallResult,
+    RateLimitStated,
     RequestStarted,
     UpstreamCrashed,
 )
@@ -146,6 +147,9 @@
             self._set_result(CallResult.BROKEN, repr(error))
             return await self._outcome_after_loss()
         self._response_metadata = response_metadata
+        self._env.dispatcher.offer(
+            RateLimitStated(self._upstream.id, response_metadata.request_limit_per_s)
+        )
         if response_metadata.is_not_run:
             progress.may_have_run = may_have_run_before
             await self._discard_body(connection)
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -117,6 +117,7 @@
             lambda: self._catalog_keeper.versions,
             self._peer_exchange.request_update,
             self._quarantine.statements,
+            self._dispatcher.limit_statements,
         )
         self._beacons.subscribe(self._dispatcher.mailbox)
         self._beacons.subscribe_findings(self._quarantine.mailbox)
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.catalog.beacons import UpstreamSlow
-from sardineyard.catalog.messages import CatalogChanged, PeerLoads
+from sardineyard.catalog.messages import CatalogChanged, PeerLimits, PeerLoads
 from sardineyard.core.mailbox import Mailbox, Reply
 from sardineyard.forwarding.budget import ServiceRetryBudget
 from sardineyard.forwarding.health import HealthTable
@@ -24,6 +24,7 @@
     EventGapMeasured,
     FirstEventMeasured,
     MoveStream,
+    RateLimitStated,
     RefusedTraitsChanged,
     ReleaseSlot,
     RequestArrived,
@@ -37,6 +38,7 @@
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.budget import BudgetRules
     from sardineyard.forwarding.config import UpstreamEntry
+    from sardineyard.forwarding.rate_limits import LimitStatement
     from sardineyard.forwarding.slot_messages import SlotRefusal, TicketId
     from sardineyard.forwarding.traits import RefusedTraits
     from sardineyard.telemetry.gateway_metrics import GatewayMetrics
@@ -90,6 +92,10 @@
         """Return the ratio of measured to nominal decode pass time, by service."""
         return self._slots.pass_factors
 
+    def limit_statements(self) -> tuple[LimitStatement, ...]:
+        """Return the rate limits of upstreams and the requests sent to these."""
+        return self._slots.rate_limits.statements()
+
     async def run(self) -> None:
         """Handle messages until cancelled."""
         while True:
@@ -112,6 +118,7 @@
             entry.id for entries in message.upstreams.values() for entry in entries
         }
         self._health.retain_only(known)
+        self._slots.rate_limits.retain_only(known)
         self._process_queues()
 
     @_handle.register(PeerLoads)
@@ -126,6 +133,14 @@
         self._budget.set_process_count(message.processes)
         self._process_queues()
 
+    @_handle.register(PeerLimits)
+    def _peer_limits(self, message: PeerLimits) -> None:
+        self._slots.rate_limits.receive(message.peer, message.statements)
+
+    @_handle.register(RateLimitStated)
+    def _rate_limit_stated(self, message: RateLimitStated) -> None:
+        self._slots.rate_limits.observe(message.upstream, message.limit_per_s)
+
     @_handle.register(UpstreamSlow)
     def _upstream_slow(self, message: UpstreamSlow) -> None:
         for entries in self._catalog.upstreams.values():
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -79,6 +79,14 @@
     result: CallResult
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimitStated:
+    """Report of the request limit in a response, or that the response has none."""
+
+    upstream: str
+    limit_per_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class RequestStarted:
     """Report that an upstream began to respond to a request without a crash."""
