--- a/packages/catalog/src/sardineyard/catalog/beacons.py
+++ b/packages/catalog/src/sardineyard/catalog/beacons.py
@@ -153,7 +153,7 @@
             message = msgspec.msgpack.decode(
                 data, type=Beacon | UpstreamSlow | TraitFindings | UpstreamLimits
             )
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             _logger.warning(
                 "ignored a malformed datagram",
                 extra={"event": "beacon_malformed", "reason": str(error)},
--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -67,7 +67,10 @@
 
     def decode(self, data: bytes, message_type: type[object]) -> object:
         """Decode a message; raise msgspec.DecodeError if it is malformed."""
-        return msgspec.msgpack.decode(data, type=message_type)
+        try:
+            return msgspec.msgpack.decode(data, type=message_type)
+        except RecursionError as error:
+            raise msgspec.DecodeError(str(error)) from None
 
 
 class PeerService:
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+import pytest
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Server
 
@@ -287,3 +289,14 @@
         server.close()
 
     run_with_catalogs(test, "", f"127.0.0.1:{port}")
+
+
+def test_deeply_nested_message_of_a_peer_is_malformed() -> None:
+    """Guards against an exchange that ends with an error that nothing handles."""
+    update = msgspec.msgpack.encode(PeerUpdate("", 1, 0))
+    fields = msgspec.msgpack.decode(update)
+    nested = b"\x91" * 20_000 + b"\x90"
+    data = bytes([0x80 + len(fields) + 1]) + update[1:]
+    data += msgspec.msgpack.encode("extra") + nested
+    with pytest.raises(msgspec.DecodeError):
+        MessagePackCodec().decode(data, PeerUpdate)
--- a/packages/core/src/sardineyard/core/address.py
+++ b/packages/core/src/sardineyard/core/address.py
@@ -26,6 +26,8 @@
         raise ValueError("port is missing; expected host:port")
     host = host.removeprefix("[").removesuffix("]")
     ip_address(host)
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError("port is not a number")
     number = int(port)
     if not 0 <= number <= 65535:
         raise ValueError("port is not between 0 and 65535")
