Answer requests before the end of a planned stop, and pass on no late bookings

Cause: the deadline of a request did not know of the stop. Requests whose own deadline lay beyond the grace, among them such that were read after the gateway had stopped listening, were passed on and cut with their connection.

Change: once the gateway has stopped listening, open requests end 0.2 s before it does, with the answer that a passed deadline gets: 503 where nothing was sent, else 504. A request that must not be repeated and that the end could cut is refused at once with a short Retry-After; other gateways serve the retry.

--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -14,6 +14,7 @@
 from sardineyard.catalog.client import CatalogClient
 from sardineyard.catalog.follower import WatchTiming
 from sardineyard.catalog.peers import MessagePackCodec, PeerService
+from sardineyard.core.clock import Deadline
 from sardineyard.core.ids import FailureDomain
 from sardineyard.core.mailbox import Reply
 from sardineyard.core.states import ProcessState
@@ -62,6 +63,9 @@
 # Time reserved for the exit at the end of the drain timeout, in seconds: the platform
 # then sends SIGKILL.
 _EXIT_MARGIN_S = 0.7
+# Time before that end at which open requests are answered, in seconds, so that callers
+# receive the answers.
+_LAST_ANSWERS_S = 0.2
 
 
 class GatewayDaemon:
@@ -211,6 +215,7 @@
         self._caller_acceptor.close_after_responses()
         await asyncio.sleep(min(_LEAVE_ROTATION_S, self._settings.drain_timeout_s / 3))
         self._caller_acceptor.stop_listening()
+        self._forwarder.end_requests_by(Deadline(drain_end - _LAST_ANSWERS_S))
         while self._caller_acceptor.open_connections and self._clock.now() < drain_end:  # noqa: ASYNC110
             await asyncio.sleep(0.05)
 
--- a/packages/gateway/src/sardineyard/gateway/forwarder.py
+++ b/packages/gateway/src/sardineyard/gateway/forwarder.py
@@ -8,9 +8,11 @@
 
 from returns.result import Failure, Success
 
+from sardineyard.core.clock import NO_DEADLINE
 from sardineyard.core.errors import ErrorKind, RequestError
 from sardineyard.core.ids import RequestId
 from sardineyard.forwarding.admission import EarlierAttemptEstimator, resolve
+from sardineyard.forwarding.config import RetryPolicy
 from sardineyard.forwarding.messages import RequestMetadata
 from sardineyard.gateway.context import ResponseDeliveryError
 from sardineyard.gateway.messages import RequestArrived
@@ -24,6 +26,7 @@
 
     from returns.result import Result
 
+    from sardineyard.core.clock import Deadline
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.config import ForwardingConfig
     from sardineyard.gateway.environment import Environment
@@ -34,6 +37,12 @@
 
 # Retry-After in seconds while this process has no configuration.
 _NOT_READY_RETRY_S = 0.5
+# Retry-After in seconds while this process stops: other gateways serve the retry.
+_STOPPING_RETRY_S = 0.05
+_RETRY_AFTER_S = {
+    ErrorKind.NOT_READY: _NOT_READY_RETRY_S,
+    ErrorKind.DRAINING: _STOPPING_RETRY_S,
+}
 
 
 class Forwarder:
@@ -51,12 +60,20 @@
         self._earlier_attempts = EarlierAttemptEstimator()
         self._request_numbers = count(1)
         self._open_requests: dict[int, RequestId] = {}
+        self._handlers: set[RequestHandler] = set()
+        self._stop_deadline = NO_DEADLINE
 
     @property
     def open_requests(self) -> list[RequestId]:
         """Return the ids of the requests in progress."""
         return sorted(self._open_requests.values())
 
+    def end_requests_by(self, deadline: Deadline) -> None:
+        """Answer all requests by a deadline, which a stop of this process sets."""
+        self._stop_deadline = deadline
+        for handler in self._handlers:
+            handler.end_by(deadline)
+
     async def handle(
         self, request: IncomingRequest, response_writer: ResponseWriter
     ) -> None:
@@ -121,9 +138,23 @@
         response_writer: ResponseWriter,
         admitted: Admitted,
     ) -> RequestError | None:
+        if self._is_too_late(admitted):
+            error = RequestError(ErrorKind.DRAINING)
+            await self._refuse(response_writer, admitted.metadata, error)
+            return error
         self._env.dispatcher.post(RequestArrived(admitted.service))
         handler = RequestHandler(request, response_writer, admitted, self._env)
-        return await handler.serve()
+        handler.end_by(self._stop_deadline)
+        self._handlers.add(handler)
+        try:
+            return await handler.serve()
+        finally:
+            self._handlers.discard(handler)
+
+    def _is_too_late(self, admitted: Admitted) -> bool:
+        """Return whether a stop could cut a request that must not be repeated."""
+        is_at_most_once = admitted.route.retry_policy is RetryPolicy.AT_MOST_ONCE
+        return is_at_most_once and admitted.deadline > self._stop_deadline
 
     async def _refuse(
         self,
@@ -131,11 +162,8 @@
         request_metadata: RequestMetadata,
         error: RequestError,
     ) -> None:
-        retry_after_s = (
-            _NOT_READY_RETRY_S if error.kind is ErrorKind.NOT_READY else None
-        )
         headers = self._env.codec.refusal_headers(
-            request_metadata.request_id, retry_after_s
+            request_metadata.request_id, _RETRY_AFTER_S.get(error.kind)
         )
         await send_error_response(response_writer, error, headers)
 
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -30,6 +30,7 @@
 from sardineyard.httpio.fields import drop_connection_fields
 
 if TYPE_CHECKING:
+    from sardineyard.core.clock import Deadline
     from sardineyard.forwarding.admission import Admitted
     from sardineyard.forwarding.slot_messages import SlotRefusal
     from sardineyard.gateway.call import BufferedFailure
@@ -89,11 +90,20 @@
         )
         self._tried_upstreams: set[str] = set()
         self._retry_after_s: float | None = None
+        self._timeout = asyncio.timeout(None)
+        self._end_by = admitted.deadline
+
+    def end_by(self, deadline: Deadline) -> None:
+        """End the request at a deadline if its own is later."""
+        self._end_by = min(self._end_by, deadline)
+        if self._timeout.when() is not None:
+            self._reschedule_timeout()
 
     async def serve(self) -> RequestError | None:
         """Send the final response and return the error of the request, if any."""
         try:
-            async with asyncio.timeout(self._remaining_s):
+            async with self._timeout:
+                self._reschedule_timeout()
                 error = await self._call_until_finished()
         except TimeoutError:
             kind = (
@@ -110,6 +120,10 @@
     def _remaining_s(self) -> float:
         return remaining(self._env.clock, self._admitted.deadline)
 
+    def _reschedule_timeout(self) -> None:
+        left_s = remaining(self._env.clock, self._end_by)
+        self._timeout.reschedule(asyncio.get_running_loop().time() + left_s)
+
     async def _call_until_finished(self) -> RequestError | None:
         while True:
             ticket = TicketId(next(self._env.tickets))
