Test that a response head that breaks off is no response

Report of other operators: clients got a 200 with an empty or short body, framed as whole. Not seen here: nine cuts of a head with and without a length, on plain requests, bookings and streams, give 502 each. The tests passed on the code before, so nothing was changed.

--- a/packages/gateway/tests/test_faulty_upstreams.py
+++ b/packages/gateway/tests/test_faulty_upstreams.py
@@ -338,3 +338,37 @@
 
     run_with_gateway(test)
     assert len(requests) == 1
+
+
+@pytest.mark.parametrize("path", ["/read/a", "/stream/a", "/book/a"])
+@pytest.mark.parametrize("framing", ["content-length: 2", "x-none: 1"])
+def test_head_that_breaks_off_is_not_a_response(
+    run_with_gateway: RunWithGateway, path: str, framing: str
+) -> None:
+    """Guards against a 200 with an empty body, framed as whole."""
+    cuts = iter(())
+
+    async def break_off(connection: UpstreamConnection) -> None:
+        request = await connection.receive()
+        assert request is not None
+        lines = (
+            "HTTP/1.1 200 OK",
+            f"x-id: {request.header('x-id')}",
+            "x-seal: s",
+            framing,
+        )
+        head = "\r\n".join([*lines, "", ""]).encode()
+        connection.writer.write(head[: next(cuts)])
+        await connection.writer.drain()
+
+    async def test(harness: Any) -> None:
+        nonlocal cuts
+        await harness.start(break_off, repeat_extra=0.0)
+        # Within a line, at the end of a line, and before the last byte of the head.
+        for cut in (4, 16, 17, 26, 27, 38, -3, -2, -1):
+            cuts = iter((cut,))
+            client = await harness.client()
+            status, headers, body = await client.request(path)
+            assert (status, headers.get("x-seal")) == (502, None), (cut, body)
+
+    run_with_gateway(test)
