Ask all seeds at the start of a process

Callers could see: after a start without access to the store, a revoked key in use until the next exchange or beacon.

Cause: a process exchanged with one seed each second and took the configuration of the first, however old it was.

Change: the first exchanges go to all seeds at once; the newest version wins.

Test: test_peers.py, with the newest version at each of three seeds; two of the three cases failed before (no newer version within half a second).

--- a/packages/catalog/src/sardineyard/catalog/peers.py
+++ b/packages/catalog/src/sardineyard/catalog/peers.py
@@ -176,15 +176,18 @@
     async def run(self) -> None:
         """Exchange updates until cancelled."""
         try:
+            # The first seed that answers may be behind, so all of them are asked.
+            for seed in self._seeds:
+                peer = self._get_or_add(seed)
+                if peer is not None and not peer.is_busy:
+                    self._start_exchange(peer)
             while True:
                 for seed in self._seeds:
                     self._get_or_add(seed)
                 self._remove_silent()
                 peer = None if self._is_requesting else self._next_peer()
                 if peer is not None:
-                    self._start_call(
-                        peer, self._exchange_with(peer, _EXCHANGE_TIMEOUT_S)
-                    )
+                    self._start_exchange(peer)
                 await asyncio.sleep(self._interval_s * self._rng.uniform(0.8, 1.2))
         finally:
             for peer in self._peers.values():
@@ -232,6 +235,9 @@
                 return peer
         return None
 
+    def _start_exchange(self, peer: _Peer) -> None:
+        self._start_call(peer, self._exchange_with(peer, _EXCHANGE_TIMEOUT_S))
+
     def _start_call(self, peer: _Peer, call: Coroutine[None, None, None]) -> None:
         peer.is_busy = True
         peer.last_called_at = self._clock.now()
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -13,7 +13,7 @@
 from grpclib.server import Server
 
 from sardineyard.catalog.beacons import BeaconSocket
-from sardineyard.catalog.messages import PeerLoads, PeerUpdate
+from sardineyard.catalog.messages import ConfigReceived, PeerLoads, PeerUpdate
 from sardineyard.catalog.peers import (
     EXCHANGE_METHOD,
     MessagePackCodec,
@@ -300,3 +300,45 @@
     data += msgspec.msgpack.encode("extra") + nested
     with pytest.raises(msgspec.DecodeError):
         MessagePackCodec().decode(data, PeerUpdate)
+
+
+@pytest.mark.parametrize("newest", range(3))
+def test_process_that_starts_does_not_stay_with_the_first_peer_that_answers(
+    run_with_catalogs: Callable[..., None], newest: int
+) -> None:
+    """Guards against a revoked key in use after a start without access to the store."""
+    ports = [free_port() for _ in range(3)]
+    seeds = tuple(f"127.0.0.1:{port}" for port in ports)
+
+    async def test(*catalogs: Any) -> None:
+        starting = catalogs[-1]
+        servers = []
+        versions = [5 if index == newest else 4 for index in range(3)]
+        for version, port, catalog in zip(versions, ports, catalogs, strict=False):
+            exchange = PeerExchange(
+                catalog.keeper.mailbox, "", (), catalog.clock, Random(port), 60.0
+            )
+            server = Server(
+                [PeerService(catalog.keeper.mailbox, exchange)],
+                codec=MessagePackCodec(),
+            )
+            await server.start("127.0.0.1", port)
+            servers.append(server)
+            catalog.start(watches_store=False)
+            await catalog.store.put_config(ForwardingConfig(version, (), {}, ()))
+            stored = await catalog.store.read_config()
+            catalog.keeper.mailbox.post(ConfigReceived(stored, "store"))
+            # Lets the starting process decode this version.
+            await starting.store.put_config(ForwardingConfig(version, (), {}, ()))
+        starting.start(watches_store=False)
+        exchange = PeerExchange(
+            starting.keeper.mailbox, "", seeds, starting.clock, Random(1), 1.0
+        )
+        starting.tasks.start("peers", exchange.run())
+        async with asyncio.timeout(0.5):
+            while starting.keeper.versions[0] != 5:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        for server in servers:
+            server.close()
+
+    run_with_catalogs(test, *seeds, "", shared=False)
