--- a/packages/forwarding/src/sardineyard/forwarding/rate_limits.py
+++ b/packages/forwarding/src/sardineyard/forwarding/rate_limits.py
@@ -13,6 +13,7 @@
     from random import Random
 
     from sardineyard.core.clock import Clock
+    from sardineyard.forwarding.quarantine import PeerHost
 
 _logger = logging.getLogger(__name__)
 
@@ -52,7 +53,7 @@
     credit: int = 0
     sent: int = 0
     # Count of each peer in its last statement.
-    sent_by_peer: dict[str, int] = field(default_factory=dict)
+    sent_by_peer: dict[PeerHost, int] = field(default_factory=dict)
 
     def burst(self) -> float:
         """Return the number of requests that may be sent at once."""
@@ -78,7 +79,7 @@
         if limit_per_s is not None or upstream in self._limits:
             self._apply(upstream, limit_per_s, self._clock.now(), "response")
 
-    def receive(self, peer: str, statements: Iterable[LimitStatement]) -> None:
+    def receive(self, peer: PeerHost, statements: Iterable[LimitStatement]) -> None:
         """Apply the statements of another gateway."""
         now = self._clock.now()
         for statement in statements:
