Halve the burst that a runner's limit allows

Cause: with a second of the limit at once, one of 60 simulated fleets of ten gateways at a limit of 12 sent 75 requests in 4 s where 77 are allowed: too close to the bound.

--- a/packages/forwarding/src/sardineyard/forwarding/rate_limits.py
+++ b/packages/forwarding/src/sardineyard/forwarding/rate_limits.py
@@ -18,7 +18,7 @@
 _logger = logging.getLogger(__name__)
 
 # Seconds of the limit that may be used at once after a time with fewer requests.
-_BURST_S = 1.0
+_BURST_S = 0.5
 # Lower bound of that burst in requests, for limits below one request a second.
 _MIN_BURST = 1.0
 # Lower bound of a limit, in requests a second: only the answer to a request shows that
