--- a/packages/rebalancer/tests/test_local_rank.py
+++ b/packages/rebalancer/tests/test_local_rank.py
@@ -58,6 +58,7 @@
             lambda: (0, 0),
             lambda _: None,
             tuple,
+            tuple,
         )
         beacons.subscribe(received)
         counts = CountsSocket(
