Let a planned stop meet requests whose deadline has just passed

Callers would see: a gateway that stops cuts all open requests 2.5 s after SIGTERM, without an answer.

Cause: end_by moved the timeout of each open request. asyncio raises RuntimeError for a timeout that is expiring or over, as while the 503 or 504 of that request is written, so the drain ended with an error and the daemon closed at once.

Change: a timeout is moved only while the calls of its request run and it has not expired. A request beyond that is ending already.

Test: packages/gateway/tests/test_planned_stop.py sets the deadline of the stop in each pass of the event loop; it failed before with 'Cannot change state of expiring Timeout'.

--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -90,20 +90,23 @@
         )
         self._tried_upstreams: set[str] = set()
         self._retry_after_s: float | None = None
-        self._timeout = asyncio.timeout(None)
         self._end_by = admitted.deadline
+        # Timeout of the calls; None before these and once they have ended.
+        self._timeout: asyncio.Timeout | None = None
 
     def end_by(self, deadline: Deadline) -> None:
         """End the request at a deadline if its own is later."""
         self._end_by = min(self._end_by, deadline)
-        if self._timeout.when() is not None:
-            self._reschedule_timeout()
+        # A timeout that has expired cannot be moved; the request is ending already.
+        if self._timeout is not None and not self._timeout.expired():
+            left_s = remaining(self._env.clock, self._end_by)
+            self._timeout.reschedule(asyncio.get_running_loop().time() + left_s)
 
     async def serve(self) -> RequestError | None:
         """Send the final response and return the error of the request, if any."""
         try:
-            async with self._timeout:
-                self._reschedule_timeout()
+            left_s = remaining(self._env.clock, self._end_by)
+            async with asyncio.timeout(left_s) as self._timeout:
                 error = await self._call_until_finished()
         except TimeoutError:
             kind = (
@@ -112,6 +115,7 @@
                 else ErrorKind.DEADLINE_UNREACHABLE
             )
             error = RequestError(kind)
+        self._timeout = None
         if error is not None and not self._response_writer.is_started:
             await self._send_error(error)
         return error
@@ -120,10 +124,6 @@
     def _remaining_s(self) -> float:
         return remaining(self._env.clock, self._admitted.deadline)
 
-    def _reschedule_timeout(self) -> None:
-        left_s = remaining(self._env.clock, self._end_by)
-        self._timeout.reschedule(asyncio.get_running_loop().time() + left_s)
-
     async def _call_until_finished(self) -> RequestError | None:
         while True:
             ticket = TicketId(next(self._env.tickets))
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -4,10 +4,23 @@
 
 import asyncio
 import dataclasses
+from itertools import count
 from typing import TYPE_CHECKING, Any
 
 import pytest
 
+from sardineyard.core.clock import NO_DEADLINE, SystemClock, deadline_after
+from sardineyard.core.ids import RequestId, ServiceName
+from sardineyard.core.mailbox import Mailbox
+from sardineyard.forwarding.admission import Admitted
+from sardineyard.forwarding.messages import RequestMetadata
+from sardineyard.gateway.connections import UpstreamConnections
+from sardineyard.gateway.environment import Environment
+from sardineyard.gateway.run import RequestHandler
+from sardineyard.httpio.request_reader import IncomingRequest
+from sardineyard.standins.gateway_doubles import PlainHeaders
+from sardineyard.telemetry.gateway_metrics import GatewayMetrics
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -95,3 +108,74 @@
         await stopping
 
     run_stop(test)
+
+
+class SlowResponseWriter:
+    """Writer of a response whose caller takes a while to read it."""
+
+    def __init__(self) -> None:
+        self.is_started = False
+        self.statuses: list[int] = []
+
+    async def send(self, status: int, headers: object, body: bytes) -> None:
+        """Record a response and wait."""
+        await asyncio.sleep(0.02)
+        self.statuses.append(status)
+
+
+@pytest.fixture
+def waiting_handler(
+    config: ForwardingConfig,
+) -> Callable[[SlowResponseWriter], RequestHandler]:
+    """Return a factory of handlers whose request waits for a slot until 0.1 s passed.
+
+    The factory is called with a running event loop.
+    """
+
+    def make(writer: Any) -> RequestHandler:
+        clock = SystemClock()
+        environment = Environment(
+            Mailbox(),
+            Mailbox(),
+            PlainHeaders(),
+            UpstreamConnections(clock),
+            clock,
+            GatewayMetrics("gateway-1"),
+            count(1),
+        )
+        admitted = Admitted(
+            RequestMetadata(RequestId("r1")),
+            config.routes[0],
+            ServiceName("desk"),
+            None,
+            1,
+            deadline_after(clock, 0.1),
+            config.version,
+        )
+        request = IncomingRequest(b"GET", b"/read/a", [], b"", clock.now())
+        return RequestHandler(request, writer, admitted, environment)
+
+    return make
+
+
+def test_stop_meets_a_request_whose_deadline_has_just_passed(
+    waiting_handler: Callable[[Any], RequestHandler],
+) -> None:
+    """Guards against a stop that fails and cuts all open requests at once.
+
+    The stop sets its deadline in each pass of the event loop, thus also while the
+    deadline of the request ends it and while its answer is written.
+    """
+
+    async def test() -> None:
+        writer = SlowResponseWriter()
+        handler = waiting_handler(writer)
+        serving = asyncio.ensure_future(handler.serve())
+        async with asyncio.timeout(2.0):
+            while not serving.done():
+                handler.end_by(NO_DEADLINE)
+                await asyncio.sleep(0)
+        await serving
+        assert writer.statuses == [503]
+
+    asyncio.run(test())
