--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -39,6 +39,34 @@
         return int(probe.getsockname()[1])
 
 
+async def start_peer(
+    catalog: Any, port: int, seeds: tuple[str, ...] = (), interval_s: float = 0.05
+) -> tuple[PeerExchange, Server]:
+    """Serve the exchanges of a catalog; its own ones are not started."""
+    exchange = PeerExchange(
+        catalog.keeper.mailbox,
+        f"127.0.0.1:{port}",
+        seeds,
+        catalog.clock,
+        Random(port),
+        interval_s,
+    )
+    server = Server(
+        [PeerService(catalog.keeper.mailbox, exchange)], codec=MessagePackCodec()
+    )
+    await server.start("127.0.0.1", port)
+    return exchange, server
+
+
+def new_caller(
+    catalog: Any, seeds: tuple[str, ...] = (), interval_s: float = 0.05
+) -> PeerExchange:
+    """Return the exchange of a process that no other one can call."""
+    return PeerExchange(
+        catalog.keeper.mailbox, "", seeds, catalog.clock, Random(1), interval_s
+    )
+
+
 def test_process_without_store_access_gets_updates_from_peers(
     run_with_catalogs: Callable[..., None],
 ) -> None:
@@ -48,20 +76,8 @@
 
     async def test(*catalogs: Any) -> None:
         servers = []
-        for catalog, port, address in zip(catalogs, ports, addresses, strict=True):
-            exchange = PeerExchange(
-                catalog.keeper.mailbox,
-                address,
-                (addresses[0],),
-                catalog.clock,
-                Random(port),
-                0.05,
-            )
-            server = Server(
-                [PeerService(catalog.keeper.mailbox, exchange)],
-                codec=MessagePackCodec(),
-            )
-            await server.start("127.0.0.1", port)
+        for catalog, port in zip(catalogs, ports, strict=True):
+            exchange, server = await start_peer(catalog, port, (addresses[0],))
             servers.append(server)
             catalog.start(watches_store=catalog is not catalogs[2])
             catalog.tasks.start("peers", exchange.run())
@@ -197,9 +213,7 @@
         ]
         for server, port in zip(servers, ports, strict=True):
             await server.start("127.0.0.1", port)
-        exchange = PeerExchange(
-            catalog.keeper.mailbox, "", (), catalog.clock, Random(1), 0.05
-        )
+        exchange = new_caller(catalog)
         catalog.start()
         catalog.tasks.start("peers", exchange.run())
         for _ in range(3):
@@ -224,16 +238,8 @@
     port = free_port()
 
     async def test(ahead: Any, behind: Any) -> None:
-        exchanges = [
-            PeerExchange(
-                catalog.keeper.mailbox, address, (), catalog.clock, Random(1), 0.05
-            )
-            for catalog, address in ((ahead, f"127.0.0.1:{port}"), (behind, ""))
-        ]
-        server = Server(
-            [PeerService(ahead.keeper.mailbox, exchanges[0])], codec=MessagePackCodec()
-        )
-        await server.start("127.0.0.1", port)
+        _, server = await start_peer(ahead, port)
+        caller = new_caller(behind)
         proxy = BlackholeProxy(Address("127.0.0.1", port))
         await proxy.start()
         for catalog in (ahead, behind):
@@ -243,7 +249,7 @@
             await ahead.wait_until(
                 lambda version=version: ahead.keeper.versions[0] == version
             )
-            exchanges[1].request_update(str(proxy.address))
+            caller.request_update(str(proxy.address))
             async with asyncio.timeout(1.0):
                 while behind.keeper.versions[0] != version:  # noqa: ASYNC110
                     await asyncio.sleep(0.01)
@@ -264,20 +270,8 @@
     port = free_port()
 
     async def test(ahead: Any, behind: Any) -> None:
-        gateway = f"127.0.0.1:{port}"
-        callee, caller = (
-            PeerExchange(
-                catalog.keeper.mailbox, address, seeds, catalog.clock, Random(1), 0.05
-            )
-            for catalog, address, seeds in (
-                (behind, gateway, ()),
-                (ahead, "", (gateway,)),
-            )
-        )
-        server = Server(
-            [PeerService(behind.keeper.mailbox, callee)], codec=MessagePackCodec()
-        )
-        await server.start("127.0.0.1", port)
+        _, server = await start_peer(behind, port)
+        caller = new_caller(ahead, (f"127.0.0.1:{port}",))
         for catalog in (ahead, behind):
             catalog.start(watches_store=catalog is ahead)
         ahead.tasks.start("peers", caller.run())
@@ -315,14 +309,7 @@
         servers = []
         versions = [5 if index == newest else 4 for index in range(3)]
         for version, port, catalog in zip(versions, ports, catalogs, strict=False):
-            exchange = PeerExchange(
-                catalog.keeper.mailbox, "", (), catalog.clock, Random(port), 60.0
-            )
-            server = Server(
-                [PeerService(catalog.keeper.mailbox, exchange)],
-                codec=MessagePackCodec(),
-            )
-            await server.start("127.0.0.1", port)
+            _, server = await start_peer(catalog, port)
             servers.append(server)
             catalog.start(watches_store=False)
             await catalog.store.put_config(ForwardingConfig(version, (), {}, ()))
@@ -331,10 +318,7 @@
             # Lets the starting process decode this version.
             await starting.store.put_config(ForwardingConfig(version, (), {}, ()))
         starting.start(watches_store=False)
-        exchange = PeerExchange(
-            starting.keeper.mailbox, "", seeds, starting.clock, Random(1), 1.0
-        )
-        starting.tasks.start("peers", exchange.run())
+        starting.tasks.start("peers", new_caller(starting, seeds, 1.0).run())
         async with asyncio.timeout(0.5):
             while starting.keeper.versions[0] != 5:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
