--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -91,6 +91,11 @@
         """Return whether the process was started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self):
+        """Return the process id."""
+        return self._process.pid
+
     async def spawn(self, words, env=None, cwd=None, stdout=None):
         """Start the process."""
         self._process = await asyncio.create_subprocess_exec(
