Review: show that the draining of a restarted runner is ignored

DRAIN: an entry with a lower start time is taken for a delayed write, though the clock of the runner's machine had jumped back.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -203,6 +203,9 @@
         self.id = ""
         self.runs = []
         self.on_run = None
+        self.state = "ready"
+        # What the time of day on the runner's machine is ahead of the true time.
+        self.clock_offset_ms = 0
         self._options = options
         self._fleet = fleet
         self._starts = 0
@@ -212,7 +215,7 @@
         """Return the key of the entry in the store."""
         return f"servers/{self.id}"
 
-    def entry(self, state="ready"):
+    def entry(self):
         """Return the entry that the runner writes."""
         return {
             "service": self.service,
@@ -220,17 +223,18 @@
             "zone": "zone-a",
             "version": "v1",
             "slots": self.slots,
-            "state": state,
+            "state": self.state,
             "coldLeftMs": 0,
             "sequence": 0,
             "born": self.born_ms,
         }
 
-    async def start(self):
-        """Start a new incarnation with an id of its own."""
-        self._starts += 1
-        self.id = f"i-{self.name}-{self._starts}"
-        self.born_ms = int(time.time() * 1000)
+    async def start(self, keeps_id=False):
+        """Start a new incarnation, with an id of its own unless it keeps the last."""
+        if not keeps_id:
+            self._starts += 1
+            self.id = f"i-{self.name}-{self._starts}"
+        self.born_ms = int(time.time() * 1000) + self.clock_offset_ms
         words = [
             sys.executable,
             str(LIB / "runner.py"),
@@ -250,6 +254,12 @@
             self._fleet.tasks.append(asyncio.create_task(task))
         self.record.write(f"{self.id} is started")
 
+    async def drain(self):
+        """Report a planned shutdown; the return is the acknowledgement."""
+        self.state = "draining"
+        await self._fleet.store.put(self.key, self.entry())
+        self.record.write(f"the store has accepted that {self.id} is draining")
+
     async def _read(self, process, id):
         while line := await process.stdout.readline():
             text = line.decode().strip()
@@ -266,7 +276,8 @@
             await self._fleet.store.put(key, self.entry())
             await asyncio.sleep(BEAT_S)
         await asyncio.sleep(LAPSE_S - BEAT_S)
-        await self._fleet.store.delete(key)
+        if self._process is process or self.id != id:
+            await self._fleet.store.delete(key)
 
 
 class Fleet:
