--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -11,6 +11,8 @@
 from http1 import read_request, response
 
 _EVENTS = 24
+# Number of the event after which a stream is preempted.
+_PREEMPTED_AFTER = 14
 
 
 class Runner:
@@ -99,6 +101,9 @@
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(0.04)
+            if number == _PREEMPTED_AFTER and b"long pause" in request.body:
+                # The request is preempted, and its prompt is read again.
+                await asyncio.sleep(self._options.preempted_ms / 1000)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
@@ -119,6 +124,7 @@
     parser.add_argument("--slots", type=int, default=6)
     parser.add_argument("--queue", type=int, default=24)
     parser.add_argument("--work-ms", type=float, default=22.5)
+    parser.add_argument("--preempted-ms", type=float, default=0.0)
     parser.add_argument("--stream", action="store_true")
     options = parser.parse_args()
     runner = Runner(options)
