--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shlex
 import shutil
@@ -40,9 +41,15 @@
 
 def free_port(host="127.0.0.1"):
     """Return a loopback port on which nothing listens."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    # The operating system assigns ports from 32768 on to outgoing connections.
+    for port in random.sample(range(12_000, 32_000), 1_000):
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise CannotRunError("no free port")
 
 
 def fill(template, values):
