--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,6 +1,7 @@
 """A prompt that crashes each runner that begins to run it comes again and again."""
 
 import asyncio
+import json
 import random
 import sys
 import uuid
@@ -11,6 +12,7 @@
 
 from fleet import Runner, run_case  # noqa: E402
 from http1 import call  # noqa: E402
+from wire import prompt_fields, request_fields  # noqa: E402
 
 HOST = "desk.example"
 SERVICE = "draft-desk"
@@ -29,34 +31,7 @@
 CRASHES = 3
 ALLOWED_RETRIES = 3
 
-CONFIG = {
-    "version": 7,
-    "routes": [
-        {
-            "name": "draft",
-            "host": HOST,
-            "pathPrefix": "/draft/",
-            "kind": "streaming",
-            "timeoutMs": 8000,
-            "targetLatencyMs": 503,
-            "priority": 0,
-            "service": SERVICE,
-            "attempts": 2,
-            "public": False,
-            "sticky": True,
-            "resumable": True,
-            "gapAimMs": 120,
-        }
-    ],
-    "services": [{"name": SERVICE, "healthPath": "/health", "maxConns": 516}],
-    "tenants": [{"name": "clerks", "apiKeys": [KEY]}],
-    "limits": {
-        "maxHeaderBytes": 16384,
-        "maxBodyBytes": 4194304,
-        "headerTimeoutMs": 3000,
-        "idleTimeoutMs": 15000,
-    },
-}
+CONFIG = json.loads((FOLDER / "config.json").read_text())
 
 
 async def case(fleet, record, trouble):
@@ -101,13 +76,8 @@
             "POST",
             "/draft/note",
             [
-                ("Host", HOST),
-                ("X-Sardineyard-Attempt-Id", id),
-                ("X-Sardineyard-Model", "m"),
-                ("X-Sardineyard-Token-Count", "714,96"),
-                ("X-Sardineyard-Prompt-Prefix", prefix),
-                ("X-Sardineyard-Deadline-Ms", DEADLINE_MS),
-                ("Authorization", f"Token {KEY}"),
+                *request_fields(HOST, KEY, id, DEADLINE_MS),
+                *prompt_fields("714,96", prefix),
             ],
             body,
             timeout_s=DEADLINE_MS / 1000,
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -16,7 +16,8 @@
 from pathlib import Path
 
 from http1 import call
-from store import CONFIG_KEY, Store
+from store import Store
+from wire import name
 
 ROOT = Path(__file__).resolve().parents[2]
 LIB = Path(__file__).resolve().parent
@@ -151,10 +152,10 @@
     def settings(self):
         """Return the fields with which the platform fills in the template."""
         return {
-            "nodeName": self.name,
+            name("node"): self.name,
             "zone": "zone-a",
             "ip": self.ip,
-            "portRange": [self.ports["admin"], self.ports["beacon"]],
+            name("ports"): [self.ports["admin"], self.ports["beacon"]],
             "bounds": BOUNDS,
             "platform": {"address": f"127.0.0.1:{self._fleet.store.port}"},
             "seeds": self._fleet.seeds,
@@ -168,19 +169,17 @@
     async def start(self):
         """Start the process with the command of the deploy file."""
         text = fill(self._template, self.settings())
-        # The platform's range of ports ends with the port of the datagrams.
-        text = text.replace("{{portRange.1}}", str(self.ports["beacon"]))
         path = self._fleet.folder / f"{self.name}.ini"
         path.write_text(text)
         log = (self._fleet.folder / f"{self.name}.log").open("ab")
         env = {
-            name: os.environ[name]
-            for name in ("PATH", "HOME", "LANG")
-            if name in os.environ
+            variable: os.environ[variable]
+            for variable in ("PATH", "HOME", "LANG")
+            if variable in os.environ
         }
         env |= {
             "PYTHONPATH": str(ROOT / "target/deps"),
-            "SARDINEYARD_CONFIG": str(path),
+            name("settings_variable"): str(path),
         }
         await self.spawn(self._words, env=env, cwd=ROOT, stdout=log)
         log.close()
@@ -231,7 +230,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "coldLeftMs": 0,
+            name("cold_left"): 0,
             "sequence": 0,
             "born": self.born_ms,
         }
@@ -302,7 +301,7 @@
     async def start(self, config, gateways, runners):
         """Start the store, the runners and the gateways."""
         await self.store.start()
-        await self.store.put(CONFIG_KEY, config)
+        await self.store.put(name("config_key"), config)
         self.runners = runners(self)
         for runner in self.runners:
             await runner.start()
@@ -310,7 +309,7 @@
         for number in range(gateways):
             ip = f"127.0.0.{number + 1}"
             ports = {
-                name: free_port(ip) for name in ("front", "ready", "control", "admin")
+                use: free_port(ip) for use in ("front", "ready", "control", "admin")
             }
             ports["beacon"] = beacon
             self.gateways.append(Gateway(f"gateway-{number + 1}", ip, ports, self))
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -9,6 +9,7 @@
 import random
 
 from http1 import read_request, response
+from wire import name
 
 _EVENTS = 24
 # Number of the event after which a stream is preempted.
@@ -45,17 +46,15 @@
 
     async def _respond(self, request, writer):
         options = self._options
-        id = request.headers.get("x-sardineyard-attempt-id", "")
-        base = [("X-Sardineyard-Attempt-Id", id)]
-        expected = request.headers.get("x-sardineyard-expect-runner")
+        id = request.headers.get(name("attempt_id").lower(), "")
+        base = [(name("attempt_id"), id)]
+        expected = request.headers.get(name("expected_runner").lower())
         if expected is not None and expected != options.id:
-            writer.write(response(421, [("X-Sardineyard-Runner-Id", options.id)], b""))
+            writer.write(response(421, [(name("runner"), options.id)], b""))
             await writer.drain()
             return True
         if self._in_system >= options.slots + options.queue:
-            writer.write(
-                response(503, [*base, ("X-Sardineyard-Not-Executed", "1")], b"")
-            )
+            writer.write(response(503, [*base, (name("not_run"), "1")], b""))
             await writer.drain()
             return True
         self._in_system += 1
@@ -67,7 +66,7 @@
 
     async def _run(self, request, base, writer):
         options = self._options
-        tenant = request.headers.get("x-sardineyard-tenant", "-")
+        tenant = request.headers.get(name("tenant").lower(), "-")
         is_deadly = b"deadly" in request.body
         if is_deadly and options.stream:
             # A stream begins to run with its first token.
@@ -79,7 +78,7 @@
             # The process crashes as the request begins to run.
             os._exit(1)
         self._sequence += 1
-        head = [*base, ("X-Sardineyard-Runner-Seal", f"{options.id}.{self._sequence}")]
+        head = [*base, (name("seal"), f"{options.id}.{self._sequence}")]
         if options.stream:
             return await self._stream(request, head, writer)
         await asyncio.sleep(random.uniform(0.5, 1.5) * options.work_ms / 1000)
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -6,8 +6,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 from http1 import read_request, response
+from wire import name
 
-CONFIG_KEY = "op/config"
 _PAGE = 500
 _FIRST_REVISION = 100
 
@@ -79,27 +79,27 @@
 
     async def _answer(self, request):
         parts = urlsplit(request.target)
-        query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
-        if parts.path == "/kv-key":
+        query = {key: values[-1] for key, values in parse_qs(parts.query).items()}
+        if parts.path == name("read_path"):
             item = self.items.get(query["key"])
             if item is None:
-                return 404, {"storeRevision": self.revision}
-            return 200, {**item, "storeRevision": self.revision}
-        if parts.path == "/kv-range":
+                return 404, {name("revision"): self.revision}
+            return 200, {**item, name("revision"): self.revision}
+        if parts.path == name("range_path"):
             after = query.get("after", "")
             keys = sorted(
                 key
                 for key in self.items
-                if key.startswith(query["pathPrefix"]) and key > after
+                if key.startswith(query[name("prefix")]) and key > after
             )
             return 200, {
                 "items": [self.items[key] for key in keys[:_PAGE]],
-                "morePages": len(keys) > _PAGE,
-                "storeRevision": self.revision,
+                name("more_pages"): len(keys) > _PAGE,
+                name("revision"): self.revision,
             }
-        if parts.path == "/kv-watch":
+        if parts.path == name("watch_path"):
             return await self._watch(
-                query["pathPrefix"], int(query["after"]), int(query["waitMs"])
+                query[name("prefix")], int(query["after"]), int(query["waitMs"])
             )
         return 404, {}
 
@@ -116,4 +116,4 @@
                 await self._changed.wait_for(found)
         except TimeoutError:
             pass
-        return 200, {"events": found(), "storeRevision": self.revision}
+        return 200, {"events": found(), name("revision"): self.revision}
