--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -332,11 +332,12 @@
 
     async def close(self):
         """End all processes."""
-        for process in (*self.gateways, *self.runners):
-            await process.end()
+        # Some tasks start processes again, so they end first.
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        for process in (*self.gateways, *self.runners):
+            await process.end()
         self.store.close()
 
 
