Quarantine streams that crash upstreams before the response head

Cause: the loss of a stream counted as a crash only after a head and before the first event. An upstream that ends before it sends a head left the outcome unknown: nothing was reported to the quarantine and the stream was retried at once.

Evidence: the logs of both gateways have call_failed with an empty status, then repeat_decided, and not one upstream_crashed line. So the finding was neither lost between gateways nor withdrawn by a success.

Change: a lost stream without a head counts as a crash of the whole request, and is retried only if no other crash of it is known. Its prompt parts are not suspected, since streams that wait beside the cause are lost with it.

--- a/packages/forwarding/src/sardineyard/forwarding/quarantine.py
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -167,6 +167,10 @@
         crashes = self._crashes.get(trait)
         return 0 if crashes is None else crashes.count
 
+    def witnesses(self, trait: Trait) -> int:
+        """Return the own crashes and the number of other processes that saw one."""
+        return self.crash_count(trait) + self._findings(trait)[Finding.CRASHED]
+
     def _suspected_parts(self, parts: tuple[Trait, ...]) -> tuple[Trait, ...]:
         """Return the parts that explain a crash best."""
         candidates = (
@@ -174,8 +178,8 @@
             or [part for part in parts if not self._is_recent(part)]
             or list(parts)
         )
-        most = max(map(self._witnesses, candidates), default=0)
-        return tuple(part for part in candidates if self._witnesses(part) == most)
+        most = max(map(self.witnesses, candidates), default=0)
+        return tuple(part for part in candidates if self.witnesses(part) == most)
 
     def _has_finding(self, trait: Trait) -> bool:
         return trait in self._crashes or any(
@@ -192,23 +196,19 @@
             if claim is not None and claim.expires > now
         )
 
-    def _witnesses(self, trait: Trait) -> int:
-        return self.crash_count(trait) + self._findings(trait)[Finding.CRASHED]
-
     def _is_refused(self, trait: Trait) -> bool:
         findings = self._findings(trait)
         if self._is_witnessed(trait, findings):
             return True
         # A process that has just started relies on those that refuse the trait.
-        supporters = self._witnesses(trait) + findings[Finding.REFUSED]
+        supporters = self.witnesses(trait) + findings[Finding.REFUSED]
         is_sound = trait in self._successes or findings[Finding.SOUND] > 0
         return not is_sound and supporters >= _CRASH_LIMITS[trait.kind]
 
     def _is_witnessed(self, trait: Trait, findings: Counter[Finding]) -> bool:
         """Return whether enough crashes were observed, here or by other processes."""
         sound = findings[Finding.SOUND] + (trait in self._successes)
-        witnesses = self.crash_count(trait) + findings[Finding.CRASHED]
-        return witnesses >= _CRASH_LIMITS[trait.kind] + sound
+        return self.witnesses(trait) >= _CRASH_LIMITS[trait.kind] + sound
 
     def _companions(self, trait: Trait) -> frozenset[Trait]:
         """Return the parts without which a request with the trait is not refused.
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sardineyard.core.mailbox import Reply
 from sardineyard.forwarding.config import RetryPolicy
 from sardineyard.forwarding.events import MalformedStreamError
+from sardineyard.forwarding.traits import RequestTraits
 from sardineyard.gateway.attempts import CallOutcome
 from sardineyard.gateway.context import deliver
 from sardineyard.gateway.messages import (
@@ -175,23 +177,33 @@
 
     async def _outcome_after_loss(self) -> CallOutcome:
         """Report a crash that the request may have caused; return the outcome."""
-        is_stream = self._admitted.route.is_stream
-        # A stream that waits for its first token has no head, and one that has an event
-        # did not crash its upstream.
-        is_starting = self._stream is not None and self._stream.event_count == 0
-        if (is_stream and not is_starting) or self._progress.has_run:
+        if self._progress.has_run:
             return CallOutcome.UNKNOWN
         if not await self._env.connections.has_ended(self._upstream):
             return CallOutcome.UNKNOWN
-        self._env.quarantine.offer(
-            UpstreamCrashed(
-                self._admitted.metadata.request_id,
-                self._upstream.id,
-                self._context.traits,
-            )
+        is_stream = self._admitted.route.is_stream
+        is_starting = self._stream is not None
+        traits = self._context.traits
+        if is_stream and not is_starting:
+            # Other streams that wait for their first token are lost with the cause, so
+            # the parts of the prompt are not suspected.
+            traits = RequestTraits(traits.request)
+        crashes = await self._report_crash(traits)
+        if not is_stream:
+            # Requests that run beside the cause cannot be told from it.
+            return CallOutcome.UNKNOWN
+        # A stream without a head is retried at its first crash, because it may only
+        # have waited beside the cause.
+        is_cause = is_starting or crashes > 1
+        return CallOutcome.CRASHED if is_cause else CallOutcome.UNKNOWN
+
+    async def _report_crash(self, traits: RequestTraits) -> int:
+        """Report a crash and return how many are known of the request."""
+        reply: Reply[int] = Reply()
+        crash = UpstreamCrashed(
+            self._admitted.metadata.request_id, self._upstream.id, traits, reply
         )
-        # Requests without a stream that run beside the cause cannot be told from it.
-        return CallOutcome.CRASHED if is_stream else CallOutcome.UNKNOWN
+        return await reply.wait() if self._env.quarantine.offer(crash) else 0
 
     async def _receive_head(
         self, connection: CallConnection
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -100,7 +100,10 @@
 
     request_id: RequestId
     upstream: str
+    # The traits that may have caused the crash.
     traits: RequestTraits
+    # Receives the number of known crashes of the request, with this one.
+    reply: Reply[int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sardineyard/gateway/quarantine.py
+++ b/packages/gateway/src/sardineyard/gateway/quarantine.py
@@ -70,6 +70,7 @@
     @_handle.register(UpstreamCrashed)
     def _upstream_crashed(self, message: UpstreamCrashed) -> None:
         suspected = self._quarantine.record_crash(message.traits)
+        known_crashes = self._quarantine.witnesses(message.traits.request)
         _logger.warning(
             "upstream crashed while it ran a request",
             extra={
@@ -78,9 +79,12 @@
                 "upstream": message.upstream,
                 "suspected": [str(trait) for trait in suspected],
                 "crashes": [self._quarantine.crash_count(t) for t in suspected],
+                "known_crashes": known_crashes,
             },
         )
         self._publish()
+        if message.reply is not None:
+            message.reply.send(known_crashes)
 
     @_handle.register(PeerStatements)
     def _peer_statements(self, message: PeerStatements) -> None:
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
 import pytest
 
 from sardineyard.core.ids import PromptPartId, ServiceName
+from sardineyard.forwarding.config import RetryPolicy
 from sardineyard.forwarding.traits import Finding, TraitStatement, traits_of
+from sardineyard.standins.gateway_doubles import record_connections
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +31,10 @@
     def __init__(self, is_deadly: Callable[[ReceivedRequest], bool]) -> None:
         self._is_deadly = is_deadly
         self.is_framed = True
+        # Whether a stream gets a response head before the crash.
+        self.sends_head = True
+        # Time from a request to its response, or to the crash that it causes.
+        self.delay_s = 0.0
         self._numbers = count(1)
         self.crashes = 0
         self.deadly_requests = 0
@@ -35,21 +42,24 @@
     async def add(self, harness: Any) -> None:
         """Start an upstream that is replaced by another one after its crash."""
         id = f"u{next(self._numbers)}"
+        connections: list[UpstreamConnection] = []
 
         async def script(connection: UpstreamConnection) -> None:
             while request := await connection.receive():
                 is_stream = b" /stream/" in request.head
+                await asyncio.sleep(self.delay_s)
                 if self._is_deadly(request):
                     self.deadly_requests += 1
                     harness.upstreams[id].close()
-                    if is_stream and self.is_framed:
-                        connection.start_stream(request)
-                    elif is_stream:
-                        connection.start_unframed_stream(request)
-                    if is_stream:
+                    if is_stream and self.sends_head:
+                        if self.is_framed:
+                            connection.start_stream(request)
+                        else:
+                            connection.start_unframed_stream(request)
                         await connection.writer.drain()
                         await asyncio.sleep(0.02)
-                    connection.writer.close()
+                    for lost in connections:
+                        lost.writer.close()
                     await harness.store.remove_upstream(id)
                     self.crashes += 1
                     await self.add(harness)
@@ -58,7 +68,7 @@
                     request, b"id: 1\ndata: a\n\n" if is_stream else b"ok"
                 )
 
-        await harness.add_upstream(id, script)
+        await harness.add_upstream(id, record_connections(script, connections))
 
 
 def has_deadly_part(request: ReceivedRequest) -> bool:
@@ -106,6 +116,13 @@
     return int(response[0])
 
 
+async def wait_served(harness: Any, target: str) -> None:
+    """Wait until a sound request is served: ended upstreams stay listed for a time."""
+    async with asyncio.timeout(5.0):
+        while await send(harness, target, "topic", b"sound") != 200:  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+
+
 @pytest.mark.parametrize("is_framed", [True, False])
 def test_part_that_crashes_upstreams_is_refused_and_its_neighbours_are_served(
     run_with_gateway: RunWithGateway, upstreams: CrashingUpstreams, is_framed: bool
@@ -142,15 +159,92 @@
         await harness.start()
         statuses = [await send(harness, "/read/", "", b"deadly") for _ in range(5)]
         assert statuses[-2:] == [422, 422]
-        # Until the gateway has read the store, the ended upstreams are still listed.
-        async with asyncio.timeout(5.0):
-            while await send(harness, "/read/", "", b"sound") != 200:  # noqa: ASYNC110
-                await asyncio.sleep(0.1)
+        await wait_served(harness, "/read/")
+
+    run_with_gateway(test)
+    assert upstreams.deadly_requests == 3
+
+
+@pytest.mark.parametrize(
+    "retry_policy", [RetryPolicy.RESUMABLE, RetryPolicy.AT_MOST_ONCE]
+)
+def test_repeated_stream_that_crashes_upstreams_before_the_head_is_refused(
+    run_with_gateway: RunWithGateway, config: Any, retry_policy: RetryPolicy
+) -> None:
+    """Guards against a stream without a response head that ends all upstreams."""
+    upstreams = CrashingUpstreams(lambda request: request.body == b"deadly")
+    upstreams.sends_head = False
+    stream_route = dataclasses.replace(config.routes[2], retry_policy=retry_policy)
+    config = dataclasses.replace(config, routes=(stream_route,))
+
+    async def test(harness: Any) -> None:
+        for _ in range(3):
+            await upstreams.add(harness)
+        await harness.start(config=config)
+        for _ in range(3):
+            assert await send(harness, "/stream/", "topic", b"deadly") in {502, 422}
+            await wait_served(harness, "/stream/")
+        assert await send(harness, "/stream/", "topic", b"deadly") == 422
+
+    run_with_gateway(test)
+    assert upstreams.deadly_requests == 3
+
+
+def test_streams_that_wait_beside_a_crashing_one_are_served(
+    run_with_gateway: RunWithGateway, config: Any
+) -> None:
+    """Guards against refusing sound streams that were lost with the cause."""
+    upstreams = CrashingUpstreams(lambda request: request.body == b"deadly")
+    upstreams.sends_head = False
+    upstreams.delay_s = 0.1
+    # The first crash is followed by one retry, so a neighbour may be lost twice.
+    stream_route = dataclasses.replace(config.routes[2], max_upstreams=3)
+    config = dataclasses.replace(config, routes=(stream_route,))
+
+    async def test(harness: Any) -> None:
+        for _ in range(6):
+            await upstreams.add(harness)
+        await harness.start(config=config, repeat_extra=100.0)
+        for number in range(6):
+            deadly = asyncio.ensure_future(
+                send(harness, "/stream/", "topic", b"deadly")
+            )
+            sound = [
+                send(harness, "/stream/", "topic", b"%d %d" % (number, index))
+                for index in range(6)
+            ]
+            assert await asyncio.gather(*sound) == [200] * 6
+            assert await deadly in {502, 422}
+            await wait_served(harness, "/stream/")
 
     run_with_gateway(test)
     assert upstreams.deadly_requests == 3
 
 
+def test_gateways_refuse_a_stream_that_crashed_upstreams_of_others_before_the_head(
+    run_with_fleet: Callable[..., None],
+) -> None:
+    """Guards against each gateway losing upstreams to the same request."""
+    upstreams = CrashingUpstreams(lambda request: request.body == b"deadly")
+    upstreams.sends_head = False
+
+    async def test(fleet: list[Any]) -> None:
+        await start_fleet(fleet, upstreams)
+        for _ in range(3):
+            for harness in fleet:
+                await send(harness, "/stream/", "topic", b"deadly")
+                await wait_served(harness, "/stream/")
+                # Findings are sent twice a second.
+                await asyncio.sleep(0.6)
+        for harness in fleet:
+            assert await send(harness, "/stream/", "topic", b"deadly") == 422
+            assert await send(harness, "/stream/", "topic", b"sound") == 200
+
+    run_with_fleet(4, test)
+    # The third crash and, as the rules allow, up to three later ones.
+    assert upstreams.deadly_requests <= 6
+
+
 def test_request_that_waits_for_a_slot_is_refused_once_its_part_is(
     run_with_gateway: RunWithGateway,
 ) -> None:
