Quarantine streams that crash upstreams after their first events

Callers would see: a stream that ends its upstream some events after it began is resumed at another upstream, and sent again, without end.

Cause: the first event of a stream counted as a success of the whole request, which cleared its crashes, and a stream that had an event was never reported as lost with its upstream.

Change: only a complete response clears the crashes of a request; the first event still clears the parts of its prompt. A stream that is lost with its upstream counts as a crash of the request, whatever it had received. As more calls ask now whether the upstream refuses connections, those that are lost at once share one probe.

Test: test_repeated_stream_that_crashes_upstreams_after_its_first_events_is_refused failed before (the fourth request was sent on, and cut) and passes now.

--- a/packages/forwarding/src/sardineyard/forwarding/quarantine.py
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -90,8 +90,8 @@
             known |= dict.fromkeys(claims)
         return known
 
-    def record_success(self, traits: RequestTraits) -> bool:
-        """Record that an upstream ran a request without a crash.
+    def record_success(self, traits: Iterable[Trait]) -> bool:
+        """Record that an upstream ran a request with the traits without a crash.
 
         Return whether the refused traits may have changed.
         """
--- a/packages/gateway/src/sardineyard/gateway/attempts.py
+++ b/packages/gateway/src/sardineyard/gateway/attempts.py
@@ -58,8 +58,6 @@
     has_stream_started: bool = False
     # Whether the caller has received an event after which a stream can be resumed.
     can_resume: bool = False
-    # Whether an upstream has begun to respond without a crash.
-    has_run: bool = False
 
     @property
     def may_retry(self) -> bool:
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -17,7 +17,7 @@
     CallEnded,
     CallResult,
     RateLimitStated,
-    RequestStarted,
+    RequestCompleted,
     UpstreamCrashed,
 )
 from sardineyard.gateway.stream import (
@@ -177,23 +177,25 @@
 
     async def _outcome_after_loss(self) -> CallOutcome:
         """Report a crash that the request may have caused; return the outcome."""
-        if self._progress.has_run:
-            return CallOutcome.UNKNOWN
         if not await self._env.connections.has_ended(self._upstream):
             return CallOutcome.UNKNOWN
         is_stream = self._admitted.route.is_stream
-        is_starting = self._stream is not None
+        is_starting = (
+            self._stream is not None
+            and self._stream.event_count == 0
+            and not self._progress.has_stream_started
+        )
         traits = self._context.traits
         if is_stream and not is_starting:
-            # Other streams that wait for their first token are lost with the cause, so
-            # the parts of the prompt are not suspected.
+            # Other streams that wait or run there are lost with the cause, so the parts
+            # of the prompt are not suspected.
             traits = RequestTraits(traits.request)
         crashes = await self._report_crash(traits)
         if not is_stream:
             # Requests that run beside the cause cannot be told from it.
             return CallOutcome.UNKNOWN
-        # A stream without a head is retried at its first crash, because it may only
-        # have waited beside the cause.
+        # A stream that was not beginning to run is retried at its first crash, because
+        # it may only have been beside the cause.
         is_cause = is_starting or crashes > 1
         return CallOutcome.CRASHED if is_cause else CallOutcome.UNKNOWN
 
@@ -245,6 +247,7 @@
             raise InvalidResponseError(
                 "success response without seal or request id, or with content encoding"
             )
+        traits = self._context.traits
         if self._admitted.route.is_stream:
             media_type = find(head.headers, b"content-type").partition(b";")[0]
             if media_type.strip().lower() not in (b"", _STREAM_MEDIA_TYPE):
@@ -253,10 +256,10 @@
                 self._context, connection, self._move_requests, self._started_at
             )
             await self._stream.forward(head)
+            self._env.quarantine.offer(RequestCompleted(traits))
         else:
             body = await connection.receive_body()
-            self._progress.has_run = True
-            self._env.quarantine.offer(RequestStarted(self._context.traits))
+            self._env.quarantine.offer(RequestCompleted(traits))
             self._context.record_first_byte()
             await deliver(
                 self._context.response_writer.send(
--- a/packages/gateway/src/sardineyard/gateway/connections.py
+++ b/packages/gateway/src/sardineyard/gateway/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from sardineyard.core.address import Address
@@ -33,6 +34,8 @@
         self._idle: dict[tuple[str, int], list[tuple[float, CallConnection]]] = {}
         self._is_closing = False
         self._budget = BufferBudget(_MAX_BUFFERED_BYTES)
+        # Probes in progress: all calls that an upstream loses at once share one.
+        self._probes: dict[tuple[str, int], asyncio.Task[bool]] = {}
 
     @property
     def idle_count(self) -> int:
@@ -57,6 +60,15 @@
 
     async def has_ended(self, upstream: UpstreamEntry) -> bool:
         """Return whether the upstream refuses connections, as after a crash."""
+        key = _incarnation_key(upstream)
+        probe = self._probes.get(key)
+        if probe is None:
+            probe = asyncio.create_task(self._refuses_connections(upstream))
+            self._probes[key] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(key, None))
+        return await asyncio.shield(probe)
+
+    async def _refuses_connections(self, upstream: UpstreamEntry) -> bool:
         try:
             connection = await self.open(upstream, _PROBE_TIMEOUT_S)
         except ConnectionRefusedError:
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -89,7 +89,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestStarted:
-    """Report that an upstream began to respond to a request without a crash."""
+    """Report that an upstream began to run a stream request without a crash."""
+
+    traits: RequestTraits
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCompleted:
+    """Report that an upstream ran a request to its end."""
 
     traits: RequestTraits
 
--- a/packages/gateway/src/sardineyard/gateway/quarantine.py
+++ b/packages/gateway/src/sardineyard/gateway/quarantine.py
@@ -13,13 +13,16 @@
 from sardineyard.forwarding.quarantine import Quarantine
 from sardineyard.gateway.messages import (
     RefusedTraitsChanged,
+    RequestCompleted,
     RequestStarted,
     UpstreamCrashed,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sardineyard.core.clock import Clock
-    from sardineyard.forwarding.traits import RefusedTraits, TraitStatement
+    from sardineyard.forwarding.traits import RefusedTraits, Trait, TraitStatement
 
 _logger = logging.getLogger(__name__)
 
@@ -64,8 +67,13 @@
 
     @_handle.register(RequestStarted)
     def _request_started(self, message: RequestStarted) -> None:
-        if self._quarantine.record_success(message.traits):
-            self._publish()
+        # The request may still crash the upstream, whereas the parts of its prompt have
+        # been read.
+        self._record_success(message.traits.prompt_parts)
+
+    @_handle.register(RequestCompleted)
+    def _request_completed(self, message: RequestCompleted) -> None:
+        self._record_success(message.traits)
 
     @_handle.register(UpstreamCrashed)
     def _upstream_crashed(self, message: UpstreamCrashed) -> None:
@@ -91,6 +99,10 @@
         self._quarantine.receive(message.peer, message.statements)
         self._publish()
 
+    def _record_success(self, traits: Iterable[Trait]) -> None:
+        if self._quarantine.record_success(traits):
+            self._publish()
+
     def _publish(self) -> None:
         self._next_check = deadline_after(self._clock, _EXPIRY_CHECK_S)
         refused = self._quarantine.refused
--- a/packages/gateway/src/sardineyard/gateway/stream.py
+++ b/packages/gateway/src/sardineyard/gateway/stream.py
@@ -113,7 +113,6 @@
         """Count the events and return those that are new to the caller."""
         if received and self.event_count == 0:
             context = self._context
-            context.progress.has_run = True
             context.environment.quarantine.offer(RequestStarted(context.traits))
         self.event_count += len(received)
         return [event for event in received if self._context.events.accept(event)]
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+from contextlib import suppress
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
@@ -31,8 +32,9 @@
     def __init__(self, is_deadly: Callable[[ReceivedRequest], bool]) -> None:
         self._is_deadly = is_deadly
         self.is_framed = True
-        # Whether a stream gets a response head before the crash.
+        # Whether a stream gets a response head before the crash, and events after it.
         self.sends_head = True
+        self.events_before_crash = 0
         # Time from a request to its response, or to the crash that it causes.
         self.delay_s = 0.0
         self._numbers = count(1)
@@ -56,6 +58,9 @@
                             connection.start_stream(request)
                         else:
                             connection.start_unframed_stream(request)
+                        first = int(request.header("last-event-id") or 0) + 1
+                        for number in range(first, first + self.events_before_crash):
+                            connection.send_event(number)
                         await connection.writer.drain()
                         await asyncio.sleep(0.02)
                     for lost in connections:
@@ -190,6 +195,27 @@
     assert upstreams.deadly_requests == 3
 
 
+def test_repeated_stream_that_crashes_upstreams_after_its_first_events_is_refused(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against a stream that ends all upstreams once it has run for a while."""
+    upstreams = CrashingUpstreams(lambda request: request.body == b"deadly")
+    upstreams.events_before_crash = 3
+
+    async def test(harness: Any) -> None:
+        for _ in range(3):
+            await upstreams.add(harness)
+        await harness.start()
+        for _ in range(3):
+            with suppress(asyncio.IncompleteReadError):
+                await send(harness, "/stream/", "topic", b"deadly")
+            await wait_served(harness, "/stream/")
+        assert await send(harness, "/stream/", "topic", b"deadly") == 422
+
+    run_with_gateway(test)
+    assert upstreams.deadly_requests == 3
+
+
 def test_streams_that_wait_beside_a_crashing_one_are_served(
     run_with_gateway: RunWithGateway, config: Any
 ) -> None:
