Send no new requests to upstreams that announce their leaving

Callers saw: requests that are lost or repeated when an upstream exits that had said in its responses that it leaves. The listing may say so later or, while the store is away, not at all.

Cause: nothing read the field; an upstream was left alone only when its entry said draining or was gone.

Leaving upstreams are left out before the choice by health, so that they are no fallback either. A request that was granted a slot before the announcement and is not written yet goes to another upstream.

--- a/packages/core/src/sardineyard/core/ids.py
+++ b/packages/core/src/sardineyard/core/ids.py
@@ -15,6 +15,8 @@
 Fingerprint = NewType("Fingerprint", str)
 # Start time of a process in microseconds since 1970; a restart gives a larger one.
 Incarnation = NewType("Incarnation", int)
+# Id and start time of an upstream: a restart under the same id is another incarnation.
+UpstreamIncarnation = NewType("UpstreamIncarnation", tuple[str, int])
 FencingNumber = NewType("FencingNumber", int)
 RankIndex = NewType("RankIndex", int)
 ExpertIndex = NewType("ExpertIndex", int)
--- a/packages/forwarding/src/sardineyard/forwarding/config.py
+++ b/packages/forwarding/src/sardineyard/forwarding/config.py
@@ -7,6 +7,8 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
+from sardineyard.core.ids import UpstreamIncarnation
+
 if TYPE_CHECKING:
     from sardineyard.core.ids import FailureDomain, ServiceName, TeamId
 
@@ -168,6 +170,10 @@
     # Requests that the upstream runs concurrently.
     slots: int
     phase: UpstreamPhase
-    # Start time in Unix milliseconds. It identifies the incarnation of the upstream: a
-    # restart under the same id is a new incarnation.
+    # Start time in Unix milliseconds.
     started_ms: int = 0
+
+    @property
+    def incarnation(self) -> UpstreamIncarnation:
+        """Return what tells this start of the upstream from others under its id."""
+        return UpstreamIncarnation((self.id, self.started_ms))
--- a/packages/forwarding/src/sardineyard/forwarding/messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/messages.py
@@ -57,6 +57,8 @@
     # Requests a second that the upstream takes from all gateways together, while it
     # says so; None without such a limit.
     request_limit_per_s: float | None = None
+    # The upstream announces that it is about to exit.
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/packages/forwarding/src/sardineyard/forwarding/slots.py
+++ b/packages/forwarding/src/sardineyard/forwarding/slots.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sardineyard.core.clock import remaining
+from sardineyard.forwarding.announcements import UpstreamAnnouncements
 from sardineyard.forwarding.config import ServiceProfile
 from sardineyard.forwarding.passes import PassModel
 from sardineyard.forwarding.rate_limits import UpstreamRateLimits
@@ -117,6 +118,7 @@
         self._granted: dict[TicketId, tuple[ServiceName, str]] = {}
         self._services: dict[ServiceName, ServiceLoad] = {}
         self._rate_limits = UpstreamRateLimits(clock, rng)
+        self._announcements = UpstreamAnnouncements()
         self._processes = 1
 
     @property
@@ -124,6 +126,11 @@
         """Return the limits that single upstreams named."""
         return self._rate_limits
 
+    @property
+    def announcements(self) -> UpstreamAnnouncements:
+        """Return what single upstreams announced about themselves."""
+        return self._announcements
+
     @property
     def local_in_flight(self) -> dict[str, int]:
         """Return the in-flight requests of this process by upstream."""
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -16,6 +16,7 @@
 from sardineyard.gateway.messages import (
     CallEnded,
     CallResult,
+    LeavingAnnounced,
     RateLimitStated,
     RequestCompleted,
     UpstreamCrashed,
@@ -49,6 +50,7 @@
 _LOG_EVENTS = {
     CallResult.ANSWERED: "call_answered",
     CallResult.MOVED: "call_moved",
+    CallResult.WITHHELD: "call_withheld",
 }
 _BROKEN_CALL_ERRORS = (OSError, InvalidResponseError, MalformedStreamError)
 
@@ -124,6 +126,11 @@
         self, connection: CallConnection, head_timeout_s: float | None
     ) -> CallOutcome:
         request = self._context.request
+        if not self._env.accepts_requests(self._upstream):
+            # The announcement arrived after the grant, while the connection was opened.
+            self._progress.unsent_attempts += 1
+            self._set_result(CallResult.WITHHELD, "the upstream takes no new requests")
+            return CallOutcome.NOT_SENT
         try:
             connection.send(request.method, request.target, self._headers, request.body)
         except OSError as error:
@@ -152,6 +159,8 @@
         self._env.dispatcher.offer(
             RateLimitStated(self._upstream.id, response_metadata.request_limit_per_s)
         )
+        if response_metadata.is_leaving:
+            self._env.dispatcher.post(LeavingAnnounced(self._upstream.incarnation))
         if response_metadata.is_not_run:
             progress.may_have_run = may_have_run_before
             await self._discard_body(connection)
@@ -304,6 +313,9 @@
                 "request_limit_per_s": response_metadata.request_limit_per_s
                 if response_metadata
                 else None,
+                "is_leaving": response_metadata.is_leaving
+                if response_metadata
+                else None,
                 "events": self._context.events.count,
                 "call_events": stream.event_count if stream else 0,
                 "prompt_parts": self._admitted.metadata.shared_prompt_parts,
--- a/packages/gateway/src/sardineyard/gateway/connections.py
+++ b/packages/gateway/src/sardineyard/gateway/connections.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import UpstreamIncarnation
     from sardineyard.forwarding.config import UpstreamEntry
 
 # Idle time after which a connection is not reused if the upstream states none.
@@ -31,11 +32,11 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._idle: dict[tuple[str, int], list[tuple[float, CallConnection]]] = {}
+        self._idle: dict[UpstreamIncarnation, list[tuple[float, CallConnection]]] = {}
         self._is_closing = False
         self._budget = BufferBudget(_MAX_BUFFERED_BYTES)
         # Probes in progress: all calls that an upstream loses at once share one.
-        self._probes: dict[tuple[str, int], asyncio.Task[bool]] = {}
+        self._probes: dict[UpstreamIncarnation, asyncio.Task[bool]] = {}
 
     @property
     def idle_count(self) -> int:
@@ -44,7 +45,7 @@
 
     def take_idle(self, upstream: UpstreamEntry) -> CallConnection | None:
         """Return an idle connection that is still usable, if any."""
-        idle = self._idle.get(_incarnation_key(upstream), [])
+        idle = self._idle.get(upstream.incarnation, [])
         while idle:
             reusable_until, connection = idle.pop()
             if connection.is_idle and self._clock.now() < reusable_until:
@@ -60,7 +61,7 @@
 
     async def has_ended(self, upstream: UpstreamEntry) -> bool:
         """Return whether the upstream refuses connections, as after a crash."""
-        key = _incarnation_key(upstream)
+        key = upstream.incarnation
         probe = self._probes.get(key)
         if probe is None:
             probe = asyncio.create_task(self._refuses_connections(upstream))
@@ -81,7 +82,7 @@
     def release(self, upstream: UpstreamEntry, connection: CallConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         connection.release_buffers()
-        idle = self._idle.setdefault(_incarnation_key(upstream), [])
+        idle = self._idle.setdefault(upstream.incarnation, [])
         stated_timeout_s = connection.keep_alive_s
         idle_timeout_s = (
             _DEFAULT_IDLE_TIMEOUT_S
@@ -118,7 +119,3 @@
             for _, connection in idle:
                 connection.close()
         self._idle.clear()
-
-
-def _incarnation_key(upstream: UpstreamEntry) -> tuple[str, int]:
-    return upstream.id, upstream.started_ms
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -136,6 +136,7 @@
                 clock,
                 metrics,
                 count(1),
+                self._dispatcher.accepts_requests,
             ),
             self._rng,
         )
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -23,6 +23,7 @@
     DumpGateway,
     EventGapMeasured,
     FirstEventMeasured,
+    LeavingAnnounced,
     MoveStream,
     RateLimitStated,
     RefusedTraitsChanged,
@@ -96,6 +97,10 @@
         """Return the rate limits of upstreams and the requests sent to these."""
         return self._slots.rate_limits.statements()
 
+    def accepts_requests(self, upstream: UpstreamEntry) -> bool:
+        """Return whether an upstream takes new requests, as far as it has announced."""
+        return self._slots.announcements.accepts_requests(upstream.incarnation)
+
     async def run(self) -> None:
         """Handle messages until cancelled."""
         while True:
@@ -127,7 +132,7 @@
         self._slots.update_peer_loads(
             message.in_flight,
             message.processes,
-            self._catalog.upstreams,
+            {name: self._accepting_upstreams(name) for name in self._catalog.upstreams},
             message.pass_factors,
         )
         self._budget.set_process_count(message.processes)
@@ -141,6 +146,10 @@
     def _rate_limit_stated(self, message: RateLimitStated) -> None:
         self._slots.rate_limits.observe(message.upstream, message.limit_per_s)
 
+    @_handle.register(LeavingAnnounced)
+    def _leaving_announced(self, message: LeavingAnnounced) -> None:
+        self._slots.announcements.record_leaving(message.upstream)
+
     @_handle.register(UpstreamSlow)
     def _upstream_slow(self, message: UpstreamSlow) -> None:
         for entries in self._catalog.upstreams.values():
@@ -253,10 +262,17 @@
     def _listed_upstreams(self, service: ServiceName) -> tuple[UpstreamEntry, ...]:
         return self._catalog.upstreams.get(service, ())
 
+    def _accepting_upstreams(self, service: ServiceName) -> list[UpstreamEntry]:
+        return [
+            entry
+            for entry in self._listed_upstreams(service)
+            if self.accepts_requests(entry)
+        ]
+
     def _available_upstreams(self, service: ServiceName) -> list[UpstreamEntry]:
-        listed = self._listed_upstreams(service)
-        available = self._health.available([entry.id for entry in listed])
-        return [entry for entry in listed if entry.id in available]
+        accepting = self._accepting_upstreams(service)
+        available = self._health.available([entry.id for entry in accepting])
+        return [entry for entry in accepting if entry.id in available]
 
     def _process_queues(self) -> None:
         for service, load in self._slots.services.items():
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sardineyard.core.ids import RequestId, ServiceName
+    from sardineyard.core.ids import RequestId, ServiceName, UpstreamIncarnation
     from sardineyard.core.mailbox import Mailbox, Reply
     from sardineyard.forwarding.slot_messages import (
         QuarantineRefusal,
@@ -35,6 +35,8 @@
     TIMED_OUT = "timed_out"
     # The upstream stated that it did not run the request.
     REJECTED = "rejected"
+    # Nothing was sent: the upstream announced meanwhile that it takes no new requests.
+    WITHHELD = "withheld"
     # Status 421: the address belongs to another upstream now.
     MISDIRECTED = "misdirected"
     # The stream was moved to another upstream.
@@ -87,6 +89,13 @@
     limit_per_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingAnnounced:
+    """Report of a response in which an upstream announced that it is about to exit."""
+
+    upstream: UpstreamIncarnation
+
+
 @dataclass(frozen=True, slots=True)
 class RequestStarted:
     """Report that an upstream began to run a stream request without a crash."""
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -224,15 +224,20 @@
         upstream = ScriptedUpstream(script)
         await upstream.start()
         self.upstreams[id] = upstream
+        await self.list_upstream(id)
+
+    async def list_upstream(self, id: str, started_ms: int = 0) -> None:
+        """Write the entry of a started upstream to the store."""
         await self.store.put_upstream(
             UpstreamEntry(
                 id,
                 SERVICE,
                 "127.0.0.1",
-                upstream.port,
+                self.upstreams[id].port,
                 FailureDomain("a"),
                 4,
                 UpstreamPhase.READY,
+                started_ms,
             )
         )
 
--- a/packages/gateway/tests/test_planned_stop.py
+++ b/packages/gateway/tests/test_planned_stop.py
@@ -142,6 +142,7 @@
             clock,
             GatewayMetrics("gateway-1"),
             count(1),
+            lambda upstream: True,
         )
         admitted = Admitted(
             RequestMetadata(RequestId("r1")),
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -176,6 +176,7 @@
             has_content_encoding=bool(find(headers, b"content-encoding")),
             request_id=find(headers, b"x-id").decode(),
             request_limit_per_s=float(limit) if limit else None,
+            is_leaving=bool(find(headers, b"x-leaving")),
         )
 
     def refusal_headers(
