Leave upstreams alone for as long as their rejections ask for

Callers saw: while one of four upstreams answers 503 with Retry-After, requests go on reaching it, each takes one from the retry budget, and once that is used up callers get 503 although three upstreams are free. While all pause, callers are told to return before the pause is over.

Cause: nothing read the Retry-After of an upstream.

The dispatcher keeps the end of the pause beside the announced leaving, for 60 s at most, so that one wrong value takes no upstream out of use. If all upstreams pause, a request waits for the end of the first pause if that comes before it would be refused anyway, and is refused at once otherwise. Its Retry-After is then the end of the pause, spread over a quarter of its length.

--- a/packages/forwarding/src/sardineyard/forwarding/announcements.py
+++ b/packages/forwarding/src/sardineyard/forwarding/announcements.py
@@ -6,7 +6,12 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from sardineyard.core.clock import deadline_after, remaining
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sardineyard.core.clock import Clock, Deadline
     from sardineyard.core.ids import UpstreamIncarnation
 
 _logger = logging.getLogger(__name__)
@@ -16,11 +21,19 @@
 _MAX_LEAVING = 5_000
 
 
+# Maximum duration of one pause, in seconds, so that a wrong value does not take an
+# upstream out of use for good.
+_MAX_PAUSE_S = 60.0
+
+
 class UpstreamAnnouncements:
     """Keeps which upstreams announced that they take no new requests."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._leaving: OrderedDict[UpstreamIncarnation, None] = OrderedDict()
+        # Ends of the pauses that upstreams asked for.
+        self._paused_until: dict[UpstreamIncarnation, Deadline] = {}
 
     def record_leaving(self, upstream: UpstreamIncarnation) -> None:
         """Record that an upstream is about to exit."""
@@ -38,6 +51,44 @@
         if len(self._leaving) > _MAX_LEAVING:
             self._leaving.popitem(last=False)
 
+    def record_pause(self, upstream: UpstreamIncarnation, until: Deadline) -> None:
+        """Record until when an upstream wants no requests of this gateway."""
+        self._drop_expired()
+        end = min(until, deadline_after(self._clock, _MAX_PAUSE_S))
+        known_end = self._paused_until.get(upstream)
+        if known_end is not None and known_end >= end:
+            return
+        self._paused_until[upstream] = end
+        if known_end is None:
+            _logger.info(
+                "upstream asked for a pause; sending it no new requests",
+                extra={
+                    "event": "upstream_paused",
+                    "upstream": upstream[0],
+                    "started_ms": upstream[1],
+                    "pause_s": round(remaining(self._clock, end), 3),
+                },
+            )
+
     def accepts_requests(self, upstream: UpstreamIncarnation) -> bool:
         """Return whether an upstream takes new requests, as far as it has announced."""
-        return upstream not in self._leaving
+        return upstream not in self._leaving and not self._is_paused(upstream)
+
+    def resumes_at(self, upstreams: Iterable[UpstreamIncarnation]) -> Deadline | None:
+        """Return the first end of a pause, or None if no upstream only pauses."""
+        ends = [
+            self._paused_until[upstream]
+            for upstream in upstreams
+            if upstream not in self._leaving and self._is_paused(upstream)
+        ]
+        return min(ends, default=None)
+
+    def _is_paused(self, upstream: UpstreamIncarnation) -> bool:
+        end = self._paused_until.get(upstream)
+        return end is not None and self._clock.now() < end
+
+    def _drop_expired(self) -> None:
+        now = self._clock.now()
+        for upstream, end in list(self._paused_until.items()):
+            if end <= now:
+                del self._paused_until[upstream]
--- a/packages/forwarding/src/sardineyard/forwarding/messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/messages.py
@@ -59,6 +59,8 @@
     request_limit_per_s: float | None = None
     # The upstream announces that it is about to exit.
     is_leaving: bool = False
+    # Seconds for which the upstream wants no further request of this gateway.
+    pause_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/packages/forwarding/src/sardineyard/forwarding/slot_messages.py
+++ b/packages/forwarding/src/sardineyard/forwarding/slot_messages.py
@@ -30,6 +30,8 @@
     # All slots that become free in time go to more urgent requests.
     OVERLOADED = "overloaded"
     NO_UPSTREAM = "no_upstream"
+    # All upstreams asked for pauses that last for longer than the request may wait.
+    PAUSED = "paused"
     # The deadline set by the caller or by the route has passed.
     OUT_OF_TIME = "out_of_time"
 
--- a/packages/forwarding/src/sardineyard/forwarding/slots.py
+++ b/packages/forwarding/src/sardineyard/forwarding/slots.py
@@ -21,7 +21,7 @@
     from collections.abc import Mapping, Sequence
     from random import Random
 
-    from sardineyard.core.clock import Clock
+    from sardineyard.core.clock import Clock, Deadline
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.config import UpstreamEntry
     from sardineyard.forwarding.slot_messages import SlotRequest, TicketId
@@ -55,6 +55,9 @@
 # refused, so that its caller has time for a retry.
 _HOLD_DEADLINE_FRACTION = 0.4
 _MIN_RETRY_AFTER_S = 0.05
+# Maximum fraction of a pause by which callers that are refused in it return later, so
+# that they do not all return at its end.
+_RETURN_SPREAD = 0.25
 # Time from the grant of a slot to the first event before any measurement, in seconds,
 # and the weight of the newest measurement.
 _INITIAL_FIRST_EVENT_S = 0.15
@@ -118,7 +121,7 @@
         self._granted: dict[TicketId, tuple[ServiceName, str]] = {}
         self._services: dict[ServiceName, ServiceLoad] = {}
         self._rate_limits = UpstreamRateLimits(clock, rng)
-        self._announcements = UpstreamAnnouncements()
+        self._announcements = UpstreamAnnouncements(clock)
         self._processes = 1
 
     @property
@@ -260,11 +263,15 @@
         return None
 
     def grant(
-        self, service: ServiceName, upstreams: Sequence[UpstreamEntry]
+        self,
+        service: ServiceName,
+        upstreams: Sequence[UpstreamEntry],
+        resumes_at: Deadline | None = None,
     ) -> list[tuple[SlotRequest, SlotGrant | SlotRefusal]]:
         """Grant or refuse slots to waiting requests, in order of precedence.
 
-        Requests that are not in the result continue to wait.
+        Requests that are not in the result continue to wait. If no upstream is given
+        because all of them pause, `resumes_at` is the end of the first pause.
         """
         load = self._services.get(service)
         if load is None:
@@ -277,7 +284,9 @@
             if slot is not None:
                 self._record_grant(request, slot)
                 decided.append((request, slot))
-            elif refused := self._refuse(request, upstreams, limit, len(kept)):
+            elif refused := self._refuse(
+                request, upstreams, limit, len(kept), resumes_at
+            ):
                 decided.append((request, refused))
             else:
                 kept.append(request)
@@ -373,6 +382,7 @@
         upstreams: Sequence[UpstreamEntry],
         limit: float,
         ahead: int,
+        resumes_at: Deadline | None,
     ) -> SlotRefusal | None:
         now = self._clock.now()
         left_s = remaining(self._clock, request.deadline)
@@ -380,6 +390,8 @@
         max_waiting = max(_MIN_QUEUE, local_slots * _QUEUE_PER_SLOT)
         if left_s <= 0:
             reason = RefusalReason.OUT_OF_TIME
+        elif resumes_at is not None and resumes_at > self._refuse_at(request):
+            reason = RefusalReason.PAUSED
         elif now >= self._refuse_at(request):
             reason = (
                 RefusalReason.OVERLOADED if upstreams else RefusalReason.NO_UPSTREAM
@@ -388,9 +400,14 @@
             reason = RefusalReason.OVERLOADED
         else:
             return None
+        if resumes_at is None:
+            retry_after_s = left_s * RETRY_AFTER_FRACTION
+        else:
+            spread = 1.0 + _RETURN_SPREAD * self._rng.random()
+            retry_after_s = remaining(self._clock, resumes_at) * spread
         return SlotRefusal(
             reason,
-            max(_MIN_RETRY_AFTER_S, left_s * RETRY_AFTER_FRACTION),
+            max(_MIN_RETRY_AFTER_S, retry_after_s),
             ahead,
             self._total_in_flight(upstreams),
             limit,
--- a/packages/forwarding/tests/test_announcements.py
+++ b/packages/forwarding/tests/test_announcements.py
@@ -6,18 +6,20 @@
 
 import pytest
 
+from sardineyard.core.clock import Deadline
 from sardineyard.forwarding.announcements import UpstreamAnnouncements
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sardineyard.core.clock import ManualClock
     from sardineyard.forwarding.config import UpstreamEntry
 
 
 @pytest.fixture
-def announcements() -> UpstreamAnnouncements:
+def announcements(clock: ManualClock) -> UpstreamAnnouncements:
     """Return the announcements known to one gateway."""
-    return UpstreamAnnouncements()
+    return UpstreamAnnouncements(clock)
 
 
 def test_leaving_upstream_accepts_no_requests(
@@ -46,3 +48,44 @@
         announcements.record_leaving(make_entry(f"u{number}").incarnation)
     assert announcements.accepts_requests(make_entry("u0").incarnation)
     assert not announcements.accepts_requests(make_entry("u5999").incarnation)
+
+
+def test_pause_ends_at_the_last_time_that_the_upstream_stated(
+    announcements: UpstreamAnnouncements,
+    make_entry: Callable[..., UpstreamEntry],
+    clock: ManualClock,
+) -> None:
+    """Guards against a shorter statement that ends an earlier, longer pause."""
+    upstream = make_entry("u1").incarnation
+    for seconds in (2.0, 4.0, 1.0):
+        announcements.record_pause(upstream, Deadline(clock.now() + seconds))
+    assert announcements.resumes_at([upstream]) == clock.now() + 4.0
+    clock.advance(3.9)
+    assert not announcements.accepts_requests(upstream)
+    clock.advance(0.2)
+    assert announcements.accepts_requests(upstream)
+    assert announcements.resumes_at([upstream]) is None
+
+
+def test_pause_without_end_is_bounded(
+    announcements: UpstreamAnnouncements,
+    make_entry: Callable[..., UpstreamEntry],
+    clock: ManualClock,
+) -> None:
+    """Guards against an upstream that one wrong value takes out of use for good."""
+    upstream = make_entry("u1").incarnation
+    announcements.record_pause(upstream, Deadline(float("inf")))
+    clock.advance(61.0)
+    assert announcements.accepts_requests(upstream)
+
+
+def test_leaving_upstream_does_not_resume_after_its_pause(
+    announcements: UpstreamAnnouncements,
+    make_entry: Callable[..., UpstreamEntry],
+    clock: ManualClock,
+) -> None:
+    """Guards against callers that are told to return to an upstream that has left."""
+    upstream = make_entry("u1").incarnation
+    announcements.record_pause(upstream, Deadline(clock.now() + 2.0))
+    announcements.record_leaving(upstream)
+    assert announcements.resumes_at([upstream]) is None
--- a/packages/forwarding/tests/test_slots.py
+++ b/packages/forwarding/tests/test_slots.py
@@ -319,3 +319,31 @@
     clock.advance(0.1)
     allocator.observe_event_gap(SERVICE, 0.06, ranks)
     assert allocator.pass_factors[SERVICE] > 0
+
+
+def test_request_is_refused_at_once_if_all_upstreams_pause_for_too_long(
+    allocator: SlotAllocator,
+    make_request: Callable[..., SlotRequest],
+    clock: ManualClock,
+) -> None:
+    """Guards against holding a caller who could return when the pause is over."""
+    allocator.enqueue(make_request(1))
+    resumes_at = Deadline(clock.now() + 3.0)
+    ((_, decision),) = allocator.grant(SERVICE, [], resumes_at)
+    assert isinstance(decision, SlotRefusal)
+    assert decision.reason is RefusalReason.PAUSED
+    assert 3.0 <= decision.retry_after_s <= 3.75
+
+
+def test_request_waits_for_the_end_of_a_short_pause(
+    allocator: SlotAllocator,
+    ranks: list[UpstreamEntry],
+    make_request: Callable[..., SlotRequest],
+    clock: ManualClock,
+) -> None:
+    """Guards against refusing a caller who can be served in time."""
+    allocator.enqueue(make_request(1))
+    assert allocator.grant(SERVICE, [], Deadline(clock.now() + 0.5)) == []
+    clock.advance(0.5)
+    ((_, decision),) = allocator.grant(SERVICE, ranks)
+    assert isinstance(decision, SlotGrant)
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sardineyard.core.clock import deadline_after
 from sardineyard.core.mailbox import Reply
 from sardineyard.forwarding.config import RetryPolicy
 from sardineyard.forwarding.events import MalformedStreamError
@@ -17,6 +18,7 @@
     CallEnded,
     CallResult,
     LeavingAnnounced,
+    PauseRequested,
     RateLimitStated,
     RequestCompleted,
     UpstreamCrashed,
@@ -161,6 +163,9 @@
         )
         if response_metadata.is_leaving:
             self._env.dispatcher.post(LeavingAnnounced(self._upstream.incarnation))
+        if response_metadata.pause_s is not None:
+            until = deadline_after(self._clock, response_metadata.pause_s)
+            self._env.dispatcher.post(PauseRequested(self._upstream.incarnation, until))
         if response_metadata.is_not_run:
             progress.may_have_run = may_have_run_before
             await self._discard_body(connection)
@@ -316,6 +321,7 @@
                 "is_leaving": response_metadata.is_leaving
                 if response_metadata
                 else None,
+                "pause_s": response_metadata.pause_s if response_metadata else None,
                 "events": self._context.events.count,
                 "call_events": stream.event_count if stream else 0,
                 "prompt_parts": self._admitted.metadata.shared_prompt_parts,
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -25,6 +25,7 @@
     FirstEventMeasured,
     LeavingAnnounced,
     MoveStream,
+    PauseRequested,
     RateLimitStated,
     RefusedTraitsChanged,
     ReleaseSlot,
@@ -35,7 +36,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from sardineyard.core.clock import Clock
+    from sardineyard.core.clock import Clock, Deadline
     from sardineyard.core.ids import FailureDomain, ServiceName
     from sardineyard.forwarding.budget import BudgetRules
     from sardineyard.forwarding.config import UpstreamEntry
@@ -150,6 +151,10 @@
     def _leaving_announced(self, message: LeavingAnnounced) -> None:
         self._slots.announcements.record_leaving(message.upstream)
 
+    @_handle.register(PauseRequested)
+    def _pause_requested(self, message: PauseRequested) -> None:
+        self._slots.announcements.record_pause(message.upstream, message.until)
+
     @_handle.register(UpstreamSlow)
     def _upstream_slow(self, message: UpstreamSlow) -> None:
         for entries in self._catalog.upstreams.values():
@@ -274,15 +279,20 @@
         available = self._health.available([entry.id for entry in accepting])
         return [entry for entry in accepting if entry.id in available]
 
+    def _resumes_at(self, service: ServiceName) -> Deadline | None:
+        """Return when the first upstream that pauses takes requests again."""
+        listed = self._listed_upstreams(service)
+        return self._slots.announcements.resumes_at(e.incarnation for e in listed)
+
     def _process_queues(self) -> None:
         for service, load in self._slots.services.items():
             if load.waiting:
                 self._process_queue(service)
 
     def _process_queue(self, service: ServiceName) -> None:
-        for request, decision in self._slots.grant(
-            service, self._available_upstreams(service)
-        ):
+        available = self._available_upstreams(service)
+        resumes_at = None if available else self._resumes_at(service)
+        for request, decision in self._slots.grant(service, available, resumes_at):
             queued = self._queued.pop(request.ticket)
             if isinstance(decision, SlotGrant):
                 self._slot_holders[request.ticket] = (
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from sardineyard.core.clock import Deadline
     from sardineyard.core.ids import RequestId, ServiceName, UpstreamIncarnation
     from sardineyard.core.mailbox import Mailbox, Reply
     from sardineyard.forwarding.slot_messages import (
@@ -96,6 +97,14 @@
     upstream: UpstreamIncarnation
 
 
+@dataclass(frozen=True, slots=True)
+class PauseRequested:
+    """Report of a rejection in which an upstream asked for no requests for a time."""
+
+    upstream: UpstreamIncarnation
+    until: Deadline
+
+
 @dataclass(frozen=True, slots=True)
 class RequestStarted:
     """Report that an upstream began to run a stream request without a crash."""
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -44,6 +44,7 @@
 _REFUSAL_KINDS = {
     RefusalReason.OVERLOADED: ErrorKind.OVERLOADED,
     RefusalReason.NO_UPSTREAM: ErrorKind.NO_UPSTREAM,
+    RefusalReason.PAUSED: ErrorKind.OVERLOADED,
     RefusalReason.OUT_OF_TIME: ErrorKind.DEADLINE_UNREACHABLE,
 }
 # Timeout for the response head of an attempt that may be retried at another upstream:
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -177,6 +177,7 @@
             request_id=find(headers, b"x-id").decode(),
             request_limit_per_s=float(limit) if limit else None,
             is_leaving=bool(find(headers, b"x-leaving")),
+            pause_s=float(pause) if (pause := find(headers, b"x-pause")) else None,
         )
 
     def refusal_headers(
