Tell callers whom all upstreams reject when the pause ends

Callers saw: a request that the last upstreams reject at the start of their pause is told to return after a quarter of its time, 1.0 s in a pause of 3 s, and is refused again then. Seen in a trial with real processes (four runners, all pausing).

Cause: only requests that were refused a slot got the end of the pause.

Change: a request that ends after a rejection asks the dispatcher whether all upstreams pause, and is told when the first pause ends. Other refusals do not wait for the dispatcher.

--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -22,6 +22,7 @@
     CallResult,
     DumpGateway,
     EventGapMeasured,
+    FindResumption,
     FirstEventMeasured,
     LeavingAnnounced,
     MoveStream,
@@ -155,6 +156,10 @@
     def _pause_requested(self, message: PauseRequested) -> None:
         self._slots.announcements.record_pause(message.upstream, message.until)
 
+    @_handle.register(FindResumption)
+    def _find_resumption(self, message: FindResumption) -> None:
+        message.reply.send(self._resumes_at(message.service))
+
     @_handle.register(UpstreamSlow)
     def _upstream_slow(self, message: UpstreamSlow) -> None:
         for entries in self._catalog.upstreams.values():
@@ -280,7 +285,9 @@
         return [entry for entry in accepting if entry.id in available]
 
     def _resumes_at(self, service: ServiceName) -> Deadline | None:
-        """Return when the first upstream that pauses takes requests again."""
+        """Return when the first pause ends, if all upstreams of a service pause."""
+        if self._accepting_upstreams(service):
+            return None
         listed = self._listed_upstreams(service)
         return self._slots.announcements.resumes_at(e.incarnation for e in listed)
 
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -105,6 +105,14 @@
     until: Deadline
 
 
+@dataclass(frozen=True, slots=True)
+class FindResumption:
+    """Request for the end of the first pause, if all upstreams of a service pause."""
+
+    service: ServiceName
+    reply: Reply[Deadline | None]
+
+
 @dataclass(frozen=True, slots=True)
 class RequestStarted:
     """Report that an upstream began to run a stream request without a crash."""
--- a/packages/gateway/src/sardineyard/gateway/run.py
+++ b/packages/gateway/src/sardineyard/gateway/run.py
@@ -25,7 +25,7 @@
 from sardineyard.gateway.call import UpstreamCall
 from sardineyard.gateway.context import RequestContext
 from sardineyard.gateway.dispatcher import acquire_retry
-from sardineyard.gateway.messages import AcquireSlot, ReleaseSlot
+from sardineyard.gateway.messages import AcquireSlot, FindResumption, ReleaseSlot
 from sardineyard.gateway.refusals import send_error_response
 from sardineyard.httpio.fields import drop_connection_fields
 
@@ -148,6 +148,8 @@
                 return None
             if outcome is CallOutcome.DELIVERED:
                 return None
+            if outcome is CallOutcome.NOT_RUN:
+                self._retry_after_s = await self._pause_left_s()
             return self._progress.final_error(outcome)
 
     async def _retry_or_end(self, outcome: CallOutcome) -> NextAction:
@@ -244,6 +246,13 @@
         headers = drop_connection_fields(failure.headers)
         await self._response_writer.send(failure.status, headers, failure.body)
 
+    async def _pause_left_s(self) -> float | None:
+        """Return the time to the end of the first pause, if all upstreams pause."""
+        reply: Reply[Deadline | None] = Reply()
+        self._env.dispatcher.post(FindResumption(self._admitted.service, reply))
+        resumes_at = await reply.wait()
+        return None if resumes_at is None else remaining(self._env.clock, resumes_at)
+
     async def _send_error(self, error: RequestError) -> None:
         retry_after_s = self._retry_after_s
         if retry_after_s is None and not self._progress.may_have_run:
--- a/packages/gateway/tests/test_pausing_upstreams.py
+++ b/packages/gateway/tests/test_pausing_upstreams.py
@@ -141,6 +141,23 @@
     assert max(upstream.max_in_pause for upstream in upstreams) <= MAX_IN_PAUSE
 
 
+def test_caller_rejected_by_all_upstreams_is_told_when_their_pause_ends(
+    run_with_gateway: RunWithGateway, upstreams: list[PausingUpstream]
+) -> None:
+    """Guards against callers who return to upstreams that still pause."""
+
+    async def test(harness: Any) -> None:
+        await harness.start(upstreams[0].script, upstreams[1].script)
+        for upstream in upstreams:
+            upstream.rejects, upstream.pause_s = True, 4.0
+        # Both upstreams reject the request, which may be sent to no third one.
+        status, retry_after_s, _ = await send(harness, "/read/")
+        assert status == 503
+        assert 3.5 < retry_after_s <= 4.0
+
+    run_with_gateway(test)
+
+
 def test_callers_wait_for_the_end_of_a_short_pause(
     run_with_gateway: RunWithGateway, upstreams: list[PausingUpstream]
 ) -> None:
