Count equal requests that were lost in one crash once

Cause: each call that was lost with its upstream added a crash to the count of its request, and each gateway that lost it added one more. One event made three.

Change: a call counts only if it started after the crash that was counted last, and crashes of a request that gateways state within 0.3 s of each other count as one. Parts of prompts count as before.

--- a/packages/forwarding/src/sardineyard/forwarding/quarantine.py
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -47,9 +47,16 @@
 _CRASH_LIMITS = {TraitKind.PROMPT_PART: 2, TraitKind.REQUEST: 3}
 
 
+# Maximum time in seconds between the crashes that processes state of one request for
+# these to count as one: an event that ends several upstreams, such as the loss of a
+# failure domain, is noticed by all processes at almost the same time.
+_SAME_EVENT_S = 0.3
+
+
 @dataclass(slots=True)
 class _Crashes:
-    count: int
+    # Times at which the crashes since the last success were counted.
+    times: list[float]
     expires: Deadline
     companions: frozenset[Trait]
 
@@ -104,20 +111,34 @@
             if has_finding or trait.kind is TraitKind.PROMPT_PART:
                 _put(self._successes, trait, now, _MAX_SUCCESSES)
             if trait in self._crashes:
-                self._crashes[trait].count = 0
+                self._crashes[trait].times.clear()
         return may_change
 
-    def record_crash(self, traits: RequestTraits) -> tuple[Trait, ...]:
-        """Record that an upstream crashed on a request; return the suspected traits."""
+    def record_crash(
+        self, traits: RequestTraits, call_started_at: float | None = None
+    ) -> tuple[Trait, ...]:
+        """Record that an upstream crashed on a request; return the suspected traits.
+
+        The start of the call is given if equal requests may have been in flight too.
+        """
         parts = self._suspected_parts(traits.prompt_parts)
         expires = deadline_after(self._clock, QUARANTINE_S)
+        now = self._clock.now()
         for trait in (traits.request, *parts):
             is_part = trait.kind is TraitKind.PROMPT_PART
             companions = frozenset(parts) - {trait} if is_part else frozenset()
             known = self._crashes.get(trait)
-            crashes = _Crashes(1, expires, companions)
-            if known is not None and known.count > 0:
-                crashes.count += known.count
+            crashes = _Crashes([now], expires, companions)
+            if known is not None and known.times:
+                if (
+                    not is_part
+                    and call_started_at is not None
+                    and call_started_at < known.times[-1]
+                ):
+                    # The call was in flight at the crash that was counted last, which
+                    # may have ended its upstream as well.
+                    continue
+                crashes.times = [*known.times, now]
                 crashes.companions &= known.companions
             _put(self._crashes, trait, crashes, _MAX_CRASHES)
         return (traits.request, *parts)
@@ -165,11 +186,31 @@
     def crash_count(self, trait: Trait) -> int:
         """Return the crashes that this process observed since the last success."""
         crashes = self._crashes.get(trait)
-        return 0 if crashes is None else crashes.count
+        return 0 if crashes is None else len(crashes.times)
 
     def witnesses(self, trait: Trait) -> int:
-        """Return the own crashes and the number of other processes that saw one."""
-        return self.crash_count(trait) + self._findings(trait)[Finding.CRASHED]
+        """Return the own crashes and those that other processes state.
+
+        Crashes of a request at almost the same time count as one. A part of a prompt
+        is suspected on better evidence, so each process counts.
+        """
+        if trait.kind is TraitKind.PROMPT_PART:
+            return self.crash_count(trait) + self._findings(trait)[Finding.CRASHED]
+        crashes = self._crashes.get(trait)
+        own_times = [] if crashes is None else crashes.times
+        events = list(own_times)
+        for time in sorted(self._stated_crash_times(trait)):
+            if all(abs(time - event) > _SAME_EVENT_S for event in events):
+                events.append(time)
+        return len(events)
+
+    def _stated_crash_times(self, trait: Trait) -> list[float]:
+        """Return when other processes saw their last crash of a trait."""
+        return [
+            claim.expires - QUARANTINE_S
+            for claim in self._valid_claims(trait)
+            if claim.finding is Finding.CRASHED
+        ]
 
     def _suspected_parts(self, parts: tuple[Trait, ...]) -> tuple[Trait, ...]:
         """Return the parts that explain a crash best."""
@@ -188,13 +229,13 @@
 
     def _findings(self, trait: Trait) -> Counter[Finding]:
         """Return the number of other processes with each finding."""
+        return Counter(claim.finding for claim in self._valid_claims(trait))
+
+    def _valid_claims(self, trait: Trait) -> list[_Claim]:
+        """Return what other processes state of a trait."""
         now = self._clock.now()
         claims = (claims.get(trait) for claims in self._claims.values())
-        return Counter(
-            claim.finding
-            for claim in claims
-            if claim is not None and claim.expires > now
-        )
+        return [c for c in claims if c is not None and c.expires > now]
 
     def _is_refused(self, trait: Trait) -> bool:
         findings = self._findings(trait)
@@ -221,7 +262,7 @@
             if trait in claims and claims[trait].finding is not Finding.SOUND
         ]
         crashes = self._crashes.get(trait)
-        if crashes is not None and crashes.count > 0:
+        if crashes is not None and crashes.times:
             candidates = crashes.companions
         else:
             candidates = frozenset().union(*stated)
@@ -243,7 +284,7 @@
 
     def _statement(self, trait: Trait) -> TraitStatement | None:
         crashes = self._crashes.get(trait)
-        if crashes is not None and crashes.count > 0:
+        if crashes is not None and crashes.times:
             left_s = remaining(self._clock, crashes.expires)
             return TraitStatement(
                 trait, Finding.CRASHED, left_s, self._companions(trait)
--- a/packages/forwarding/tests/test_quarantine.py
+++ b/packages/forwarding/tests/test_quarantine.py
@@ -126,6 +126,41 @@
     assert not is_refused(quarantine, traits(body=b"other"))
 
 
+def test_equal_requests_lost_in_one_crash_count_once(
+    quarantine: Quarantine, clock: ManualClock
+) -> None:
+    """Guards against refusing what many callers asked for as upstreams crashed."""
+    popular = traits(body=b"popular")
+    for _ in range(2):
+        started_at = clock.now()
+        clock.advance(1.0)
+        for _ in range(5):
+            quarantine.record_crash(popular, started_at)
+            clock.advance(0.01)
+        assert not is_refused(quarantine, popular)
+    quarantine.record_crash(popular, clock.now())
+    assert is_refused(quarantine, popular)
+
+
+def test_processes_that_lost_equal_requests_in_one_event_count_once(
+    quarantine: Quarantine, clock: ManualClock
+) -> None:
+    """Guards against a fleet that refuses a popular request after one event."""
+    popular = traits(body=b"popular")
+    for peer in PEERS:
+        reporter = Quarantine(clock)
+        reporter.record_crash(popular)
+        quarantine.receive(peer, reporter.statements())
+        clock.advance(0.01)
+    quarantine.record_crash(popular)
+    assert not is_refused(quarantine, popular)
+    for _ in range(2):
+        clock.advance(5.0)
+        assert not is_refused(quarantine, popular)
+        quarantine.record_crash(popular)
+    assert is_refused(quarantine, popular)
+
+
 def test_success_ends_the_suspicion_of_a_repeated_request(
     quarantine: Quarantine,
 ) -> None:
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -217,7 +217,11 @@
         """Report a crash and return how many are known of the request."""
         reply: Reply[int] = Reply()
         crash = UpstreamCrashed(
-            self._admitted.metadata.request_id, self._upstream.id, traits, reply
+            self._admitted.metadata.request_id,
+            self._upstream.id,
+            traits,
+            self._started_at,
+            reply,
         )
         return await reply.wait() if self._env.quarantine.offer(crash) else 0
 
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -135,6 +135,8 @@
     upstream: str
     # The traits that may have caused the crash.
     traits: RequestTraits
+    # Monotonic time at which the call to the upstream started.
+    call_started_at: float | None = None
     # Receives the number of known crashes of the request, with this one.
     reply: Reply[int] | None = None
 
--- a/packages/gateway/src/sardineyard/gateway/quarantine.py
+++ b/packages/gateway/src/sardineyard/gateway/quarantine.py
@@ -77,7 +77,9 @@
 
     @_handle.register(UpstreamCrashed)
     def _upstream_crashed(self, message: UpstreamCrashed) -> None:
-        suspected = self._quarantine.record_crash(message.traits)
+        suspected = self._quarantine.record_crash(
+            message.traits, message.call_started_at
+        )
         known_crashes = self._quarantine.witnesses(message.traits.request)
         _logger.warning(
             "upstream crashed while it ran a request",
