Do not leave requests on kept connections that have gone silent

Change: an idle connection is probed each second and lost after two. Once it is taken for a request, probes stop, so that an upstream may be silent while it works, but bytes that are not acknowledged for 0.7 s end the connection and the request can be retried. Bodies over 16 KB get a new connection, since a body that waits for an upstream to read it would look the same.

--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -48,6 +48,8 @@
 # matters; the body is read so that the connection can be reused.
 _MAX_DISCARDED_BYTES = 65_536
 _DISCARD_TIMEOUT_S = 0.1
+# Size of a body that the socket buffer of an upstream holds before it is read.
+_MAX_BODY_ON_KEPT_CONNECTION = 16_384
 _STREAM_MEDIA_TYPE = b"text/event-stream"
 _LOG_EVENTS = {
     CallResult.ANSWERED: "call_answered",
@@ -111,9 +113,15 @@
         # The upstream may have closed an idle connection, which shows only after the
         # request was sent. Requests that must not be retried use a new connection, and
         # so do retries: a second copy of the response to the last attempt, which has
-        # the same id, may still arrive on the connection of that attempt.
-        may_reuse = self._admitted.route.retry_policy is not RetryPolicy.AT_MOST_ONCE
-        if may_reuse and self._progress.sent_attempts == 0:
+        # the same id, may still arrive on the connection of that attempt. A body that
+        # waits for an upstream to read it would be taken for one that is not
+        # acknowledged.
+        may_reuse = (
+            self._admitted.route.retry_policy is not RetryPolicy.AT_MOST_ONCE
+            and self._progress.sent_attempts == 0
+            and len(self._context.request.body) <= _MAX_BODY_ON_KEPT_CONNECTION
+        )
+        if may_reuse:
             idle = self._env.connections.take_idle(self._upstream)
             if idle is not None:
                 return idle
--- a/packages/gateway/src/sardineyard/gateway/connections.py
+++ b/packages/gateway/src/sardineyard/gateway/connections.py
@@ -49,6 +49,8 @@
         while idle:
             reusable_until, connection = idle.pop()
             if connection.is_idle and self._clock.now() < reusable_until:
+                # An upstream may be silent for as long as it works on the request.
+                connection.stop_probes()
                 return connection
             connection.close()
         return None
@@ -95,6 +97,8 @@
             and not self._is_closing
             and len(idle) < _MAX_IDLE_PER_UPSTREAM
         ):
+            # A connection that goes silent while it is idle looks like a sound one.
+            connection.start_probes()
             idle.append((self._clock.now() + idle_timeout_s, connection))
         else:
             connection.close()
--- a/packages/httpio/src/sardineyard/httpio/call.py
+++ b/packages/httpio/src/sardineyard/httpio/call.py
@@ -175,6 +175,14 @@
         if rest:
             self._http.receive_data(rest)
 
+    def start_probes(self) -> None:
+        """Let the operating system end the connection if the server is silent."""
+        self._stream.start_probes()
+
+    def stop_probes(self) -> None:
+        """Allow the server to be silent while it works on a request."""
+        self._stream.stop_probes()
+
     def close(self) -> None:
         """Close the socket at once, so that a server that is still working notices."""
         self.release_buffers()
--- a/packages/httpio/src/sardineyard/httpio/socket_stream.py
+++ b/packages/httpio/src/sardineyard/httpio/socket_stream.py
@@ -18,6 +18,9 @@
 # shortest interval of the operating system.
 _PROBE_INTERVAL_S = 1
 _MAX_SILENCE_S = 1.5
+# Time without an acknowledgement after which bytes sent on a kept connection are lost.
+# It covers the first two retransmissions, after 0.2 s and 0.6 s.
+_MAX_UNACKNOWLEDGED_S = 0.7
 
 
 class SocketStream(asyncio.Protocol):
@@ -90,6 +93,32 @@
         if self._lost:
             raise ConnectionResetError("the connection is lost")
 
+    def start_probes(self) -> None:
+        """Let the operating system end the connection if its peer is silent."""
+        sock = self._socket
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+        # Also holds for sent bytes, which suspend the probes until they are
+        # acknowledged.
+        self._limit_unacknowledged(_MAX_SILENCE_S)
+
+    def stop_probes(self) -> None:
+        """Allow the peer to be silent, except that it acknowledges what is sent."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
+        self._limit_unacknowledged(_MAX_UNACKNOWLEDGED_S)
+
+    @property
+    def _socket(self) -> socket.socket:
+        assert self._transport is not None
+        return cast("socket.socket", self._transport.get_extra_info("socket"))
+
+    def _limit_unacknowledged(self, seconds: float) -> None:
+        self._socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000)
+        )
+
     def close(self) -> None:
         """Close the socket after the written bytes are sent."""
         if self._transport is not None:
@@ -151,21 +180,9 @@
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
-        transport, stream = await loop.create_connection(
+        _, stream = await loop.create_connection(
             SocketStream, address.host, address.port
         )
     if probes_peer:
-        _start_probes(transport.get_extra_info("socket"))
+        stream.start_probes()
     return stream
-
-
-def _start_probes(sock: socket.socket) -> None:
-    """Let the operating system end a connection whose peer acknowledges nothing."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
-    # Also holds for sent bytes, which suspend the probes until they are acknowledged.
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(_MAX_SILENCE_S * 1000)
-    )
