Repeat the probe of an upstream that is just ending

Callers would see: a request that crashes upstreams is refused later than after its third crash.

Cause: whether an upstream has crashed is probed by a new connection. A process that ends may close its open connections before its listener; a probe in between was accepted and the crash was not counted.

Change: a probe is held for 30 ms and repeated if its connection ends meanwhile.

Test: test_crash_of_an_upstream_that_closes_its_listener_last_is_counted failed before.

--- a/packages/gateway/src/sardineyard/gateway/connections.py
+++ b/packages/gateway/src/sardineyard/gateway/connections.py
@@ -22,6 +22,10 @@
 _MAX_IDLE_PER_UPSTREAM = 8
 # Connecting within a region takes 2 ms; a process that has ended refuses at once.
 _PROBE_TIMEOUT_S = 0.3
+# A process that ends may close its open connections before its listener, so a probe is
+# held for this time and repeated if its connection ends as well.
+_PROBE_HOLD_S = 0.03
+_MAX_PROBES = 3
 # Memory for large response bodies, over all calls: about a fifth of the 152 MB of the
 # smallest gateway, because each body is copied once while it is forwarded.
 _MAX_BUFFERED_BYTES = 32 * 2**20
@@ -72,13 +76,19 @@
         return await asyncio.shield(probe)
 
     async def _refuses_connections(self, upstream: UpstreamEntry) -> bool:
-        try:
-            connection = await self.open(upstream, _PROBE_TIMEOUT_S)
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        connection.close()
+        for _ in range(_MAX_PROBES):
+            try:
+                connection = await self.open(upstream, _PROBE_TIMEOUT_S)
+            except ConnectionRefusedError:
+                return True
+            except ConnectionResetError:
+                continue
+            except (OSError, TimeoutError):
+                return False
+            has_ended = await connection.wait_ended(_PROBE_HOLD_S)
+            connection.close()
+            if not has_ended:
+                return False
         return False
 
     def release(self, upstream: UpstreamEntry, connection: CallConnection) -> None:
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -35,6 +35,8 @@
         # Whether a stream gets a response head before the crash, and events after it.
         self.sends_head = True
         self.events_before_crash = 0
+        # Time for which an upstream accepts connections after it closed its open ones.
+        self.closes_listener_after_s = 0.0
         # Time from a request to its response, or to the crash that it causes.
         self.delay_s = 0.0
         self._numbers = count(1)
@@ -45,14 +47,20 @@
         """Start an upstream that is replaced by another one after its crash."""
         id = f"u{next(self._numbers)}"
         connections: list[UpstreamConnection] = []
+        is_ending, has_ended = asyncio.Event(), asyncio.Event()
 
         async def script(connection: UpstreamConnection) -> None:
+            if is_ending.is_set():
+                # The connection ends with the listener.
+                await has_ended.wait()
+                return
             while request := await connection.receive():
                 is_stream = b" /stream/" in request.head
                 await asyncio.sleep(self.delay_s)
                 if self._is_deadly(request):
                     self.deadly_requests += 1
-                    harness.upstreams[id].close()
+                    if self.closes_listener_after_s == 0.0:
+                        harness.upstreams[id].close()
                     if is_stream and self.sends_head:
                         if self.is_framed:
                             connection.start_stream(request)
@@ -63,8 +71,12 @@
                             connection.send_event(number)
                         await connection.writer.drain()
                         await asyncio.sleep(0.02)
+                    is_ending.set()
                     for lost in connections:
                         lost.writer.close()
+                    await asyncio.sleep(self.closes_listener_after_s)
+                    harness.upstreams[id].close()
+                    has_ended.set()
                     await harness.store.remove_upstream(id)
                     self.crashes += 1
                     await self.add(harness)
@@ -195,6 +207,27 @@
     assert upstreams.deadly_requests == 3
 
 
+def test_crash_of_an_upstream_that_closes_its_listener_last_is_counted(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against a crash that is missed because a connection is still accepted."""
+    upstreams = CrashingUpstreams(lambda request: request.body == b"deadly")
+    upstreams.sends_head = False
+    upstreams.closes_listener_after_s = 0.02
+
+    async def test(harness: Any) -> None:
+        for _ in range(3):
+            await upstreams.add(harness)
+        await harness.start()
+        for _ in range(3):
+            assert await send(harness, "/stream/", "topic", b"deadly") in {502, 422}
+            await wait_served(harness, "/stream/")
+        assert await send(harness, "/stream/", "topic", b"deadly") == 422
+
+    run_with_gateway(test)
+    assert upstreams.deadly_requests == 3
+
+
 def test_repeated_stream_that_crashes_upstreams_after_its_first_events_is_refused(
     run_with_gateway: RunWithGateway,
 ) -> None:
--- a/packages/httpio/src/sardineyard/httpio/call.py
+++ b/packages/httpio/src/sardineyard/httpio/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -175,6 +176,15 @@
         if rest:
             self._http.receive_data(rest)
 
+    async def wait_ended(self, timeout_s: float) -> bool:
+        """Wait for the end of the connection; return whether it came in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._stream.ended.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def start_probes(self) -> None:
         """Let the operating system end the connection if the server is silent."""
         self._stream.start_probes()
