Quarantine requests whose upstreams go dark

Callers would see: a request that takes down the VM of its upstream is sent again without end.

Cause: a crash was counted only if the upstream refused a connection. A VM that is gone refuses nothing: calls to it end at a timeout or when their caller leaves.

Change: a call that ends without a complete response is remembered for six seconds and counts as a crash of its request once its upstream is removed from the listing without having drained. Entries are removed after 3.6 s without a heartbeat. Callers who leave early do not count, because the upstreams of their calls stay listed.

Tests: test_repeated_request_whose_upstreams_go_dark_is_refused failed before in both cases (504 instead of 422); test_callers_who_leave_early_are_not_taken_for_crashes holds before and after.

--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -216,7 +216,10 @@
 
     def _publish(self) -> None:
         changed = CatalogChanged(
-            self.config, self._upstreams.usable(), self._upstreams.revision
+            self.config,
+            self._upstreams.usable(),
+            self._upstreams.revision,
+            self._upstreams.draining(),
         )
         if self._is_unchanged(changed):
             return
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from sardineyard.core.ids import ServiceName
+    from sardineyard.core.ids import ServiceName, UpstreamIncarnation
     from sardineyard.core.mailbox import Reply
     from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
     from sardineyard.forwarding.quarantine import PeerHost
@@ -56,6 +56,8 @@
     upstreams: dict[ServiceName, tuple[UpstreamEntry, ...]]
     # Revision of the store up to which the upstreams are complete.
     revision: int
+    # Upstreams that finish their requests before they exit.
+    draining: frozenset[UpstreamIncarnation] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterable
 
     from sardineyard.core.clock import Clock, Deadline
-    from sardineyard.core.ids import ServiceName
+    from sardineyard.core.ids import ServiceName, UpstreamIncarnation
     from sardineyard.forwarding.config import UpstreamEntry
     from sardineyard.forwarding.store import StoredUpstream, UpstreamSnapshot
 
@@ -96,6 +96,14 @@
                 listed.append(entry)
         return {service: tuple(listed) for service, listed in by_service.items()}
 
+    def draining(self) -> frozenset[UpstreamIncarnation]:
+        """Return the upstreams that finish their requests before they exit."""
+        return frozenset(
+            record.entry.incarnation
+            for record in self._records.values()
+            if record.listing is ListingState.DRAINING
+        )
+
     def replace(self, snapshot: UpstreamSnapshot, *, after_outage: bool) -> None:
         """Apply a full list; missing entries are removed, or lapse after an outage."""
         if self._revision == 0:
--- a/packages/gateway/src/sardineyard/gateway/call.py
+++ b/packages/gateway/src/sardineyard/gateway/call.py
@@ -17,6 +17,7 @@
 from sardineyard.gateway.messages import (
     CallEnded,
     CallResult,
+    CallUnfinished,
     LeavingAnnounced,
     PauseRequested,
     RateLimitStated,
@@ -56,6 +57,10 @@
     CallResult.MOVED: "call_moved",
     CallResult.WITHHELD: "call_withheld",
 }
+# Results of calls that a crash of the upstream may have ended.
+_UNFINISHED_RESULTS = frozenset(
+    {CallResult.BROKEN, CallResult.TIMED_OUT, CallResult.ABANDONED}
+)
 _BROKEN_CALL_ERRORS = (OSError, InvalidResponseError, MalformedStreamError)
 
 
@@ -91,6 +96,8 @@
         self._started_at = context.environment.clock.now()
         self._stream: StreamForwarder | None = None
         self._reason = ""
+        self._is_sent = False
+        self._is_crash_reported = False
         self.failure: BufferedFailure | None = None
 
     async def run(self, head_timeout_s: float | None) -> CallOutcome:
@@ -107,6 +114,7 @@
             if connection is not None:
                 self._env.connections.release(self._upstream, connection)
             self._report_result(outcome, self._clock.now() - self._started_at)
+            self._report_unfinished()
         return outcome
 
     async def _connect(self) -> CallConnection | None:
@@ -150,6 +158,7 @@
             return CallOutcome.NOT_SENT
         progress = self._progress
         progress.sent_attempts += 1
+        self._is_sent = True
         may_have_run_before = progress.may_have_run
         progress.may_have_run = True
         try:
@@ -223,6 +232,7 @@
 
     async def _report_crash(self, traits: RequestTraits) -> int:
         """Report a crash and return how many are known of the request."""
+        self._is_crash_reported = True
         reply: Reply[int] = Reply()
         crash = UpstreamCrashed(
             self._admitted.metadata.request_id,
@@ -233,6 +243,19 @@
         )
         return await reply.wait() if self._env.quarantine.offer(crash) else 0
 
+    def _report_unfinished(self) -> None:
+        """Report a call that may have ended with its upstream, which shows later."""
+        is_unfinished = self._is_sent and self._result in _UNFINISHED_RESULTS
+        if is_unfinished and not self._is_crash_reported:
+            self._env.quarantine.offer(
+                CallUnfinished(
+                    self._admitted.metadata.request_id,
+                    self._upstream.incarnation,
+                    RequestTraits(self._context.traits.request),
+                    self._started_at,
+                )
+            )
+
     async def _receive_head(
         self, connection: CallConnection
     ) -> tuple[ResponseHead, ResponseMetadata]:
--- a/packages/gateway/src/sardineyard/gateway/daemon.py
+++ b/packages/gateway/src/sardineyard/gateway/daemon.py
@@ -111,6 +111,7 @@
         )
         self._catalog_keeper.subscribe(self._dispatcher.mailbox)
         self._quarantine = QuarantineKeeper(clock, self._dispatcher.mailbox)
+        self._catalog_keeper.subscribe(self._quarantine.mailbox)
         self._beacons = BeaconSocket(
             settings.peer_address,
             settings.beacon_address,
--- a/packages/gateway/src/sardineyard/gateway/messages.py
+++ b/packages/gateway/src/sardineyard/gateway/messages.py
@@ -141,6 +141,17 @@
     reply: Reply[int] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class CallUnfinished:
+    """Report of a call without a complete response, whose upstream may have ended."""
+
+    request_id: RequestId
+    upstream: UpstreamIncarnation
+    traits: RequestTraits
+    # Monotonic time at which the call to the upstream started.
+    call_started_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class RefusedTraitsChanged:
     """Message to the dispatcher with all traits whose requests are refused."""
--- a/packages/gateway/src/sardineyard/gateway/quarantine.py
+++ b/packages/gateway/src/sardineyard/gateway/quarantine.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import logging
+from collections import deque
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from sardineyard.catalog.messages import PeerStatements
+from sardineyard.catalog.messages import CatalogChanged, PeerStatements
 from sardineyard.core.clock import deadline_after
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.forwarding.quarantine import Quarantine
 from sardineyard.gateway.messages import (
+    CallUnfinished,
     RefusedTraitsChanged,
     RequestCompleted,
     RequestStarted,
@@ -21,13 +23,18 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sardineyard.core.clock import Clock
+    from sardineyard.core.clock import Clock, Deadline
+    from sardineyard.core.ids import UpstreamIncarnation
     from sardineyard.forwarding.traits import RefusedTraits, Trait, TraitStatement
 
 _logger = logging.getLogger(__name__)
 
 # Interval at which expired findings are looked for.
 _EXPIRY_CHECK_S = 1.0
+# Time after a call in which the removal of its upstream shows that it had ended: its
+# entry is removed after 3.6 s without a heartbeat, and a watch may be late.
+_REMOVAL_TIMEOUT_S = 6.0
+_MAX_UNFINISHED_CALLS = 1_000
 
 
 class QuarantineKeeper:
@@ -39,6 +46,12 @@
         self._quarantine = Quarantine(clock)
         self._subscriber = subscriber
         self._refused: RefusedTraits = {}
+        self._listed: frozenset[UpstreamIncarnation] = frozenset()
+        self._draining: frozenset[UpstreamIncarnation] = frozenset()
+        # Calls whose upstream may have ended, each with the end of its removal timeout.
+        self._unfinished: deque[tuple[Deadline, CallUnfinished]] = deque(
+            maxlen=_MAX_UNFINISHED_CALLS
+        )
         self._next_check = deadline_after(clock, _EXPIRY_CHECK_S)
 
     @property
@@ -96,11 +109,46 @@
         if message.reply is not None:
             message.reply.send(known_crashes)
 
+    @_handle.register(CallUnfinished)
+    def _call_unfinished(self, message: CallUnfinished) -> None:
+        if message.upstream in self._listed or message.upstream in self._draining:
+            deadline = deadline_after(self._clock, _REMOVAL_TIMEOUT_S)
+            self._unfinished.append((deadline, message))
+        else:
+            self._removed_upstream_crashed(message)
+
+    @_handle.register(CatalogChanged)
+    def _catalog_changed(self, message: CatalogChanged) -> None:
+        self._listed = frozenset(
+            entry.incarnation
+            for entries in message.upstreams.values()
+            for entry in entries
+        )
+        self._draining = message.draining
+        now = self._clock.now()
+        calls = list(self._unfinished)
+        self._unfinished.clear()
+        for deadline, call in calls:
+            if now >= deadline or call.upstream in self._draining:
+                continue
+            if call.upstream in self._listed:
+                self._unfinished.append((deadline, call))
+            else:
+                self._removed_upstream_crashed(call)
+
     @_handle.register(PeerStatements)
     def _peer_statements(self, message: PeerStatements) -> None:
         self._quarantine.receive(message.peer, message.statements)
         self._publish()
 
+    def _removed_upstream_crashed(self, call: CallUnfinished) -> None:
+        """Take a call as lost in a crash: its upstream was removed without draining."""
+        self._upstream_crashed(
+            UpstreamCrashed(
+                call.request_id, call.upstream[0], call.traits, call.call_started_at
+            )
+        )
+
     def _record_success(self, traits: Iterable[Trait]) -> None:
         if self._quarantine.record_success(traits):
             self._publish()
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -228,6 +228,72 @@
     assert upstreams.deadly_requests == 3
 
 
+@pytest.mark.parametrize("target", ["/stream/", "/book/"])
+def test_repeated_request_whose_upstreams_go_dark_is_refused(
+    run_with_gateway: RunWithGateway, target: str
+) -> None:
+    """Guards against a request that takes down VMs, which refuse no connection."""
+    dark: set[str] = set()
+    deadly_requests = 0
+
+    async def add_upstream(harness: Any, number: int) -> None:
+        id = f"u{number}"
+
+        async def script(connection: UpstreamConnection) -> None:
+            nonlocal deadly_requests
+            while request := await connection.receive():
+                deadly_requests += request.body == b"deadly"
+                if id in dark or request.body == b"deadly":
+                    dark.add(id)
+                    await asyncio.Event().wait()
+                is_stream = b" /stream/" in request.head
+                body = b"id: 1\ndata: a\n\n" if is_stream else b"ok"
+                connection.send_response(request, body)
+
+        await harness.add_upstream(id, script)
+
+    async def test(harness: Any) -> None:
+        await add_upstream(harness, 0)
+        await harness.start()
+        for number in range(3):
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await send(harness, target, "topic", b"deadly")
+            # The entry is removed once its heartbeats are missing.
+            await harness.store.remove_upstream(f"u{number}")
+            await add_upstream(harness, number + 1)
+            await wait_served(harness, target)
+        assert await send(harness, target, "topic", b"deadly") == 422
+        assert await send(harness, target, "topic", b"sound") == 200
+
+    run_with_gateway(test)
+    assert deadly_requests == 3
+
+
+def test_callers_who_leave_early_are_not_taken_for_crashes(
+    run_with_gateway: RunWithGateway,
+) -> None:
+    """Guards against refusing a request because impatient callers cancelled it."""
+    delay_s = 1.0
+
+    async def serve_slowly(connection: UpstreamConnection) -> None:
+        while request := await connection.receive():
+            await asyncio.sleep(delay_s)
+            connection.send_response(request)
+
+    async def test(harness: Any) -> None:
+        nonlocal delay_s
+        await harness.start(serve_slowly)
+        for _ in range(4):
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await send(harness, "/read/", "", b"same")
+        delay_s = 0.0
+        assert await send(harness, "/read/", "", b"same") == 200
+
+    run_with_gateway(test)
+
+
 def test_repeated_stream_that_crashes_upstreams_after_its_first_events_is_refused(
     run_with_gateway: RunWithGateway,
 ) -> None:
