Filter upstreams by their announcements only where there are any

Found while reading the change: each pass of a queue asked for each upstream whether it had announced anything. Without announcements the listed upstreams are used as they are. Also: probes end with the pool of connections, the comment on a crashed call covers all of its cases, and constants stand together.

--- a/packages/forwarding/src/sardineyard/forwarding/announcements.py
+++ b/packages/forwarding/src/sardineyard/forwarding/announcements.py
@@ -9,18 +9,17 @@
 from sardineyard.core.clock import deadline_after, remaining
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from sardineyard.core.clock import Clock, Deadline
     from sardineyard.core.ids import UpstreamIncarnation
+    from sardineyard.forwarding.config import UpstreamEntry
 
 _logger = logging.getLogger(__name__)
 
 # Maximum number of leaving upstreams that are remembered. They are kept after their
 # entries were removed, because an entry may come back after an outage of the store.
 _MAX_LEAVING = 5_000
-
-
 # Maximum duration of one pause, in seconds, so that a wrong value does not take an
 # upstream out of use for good.
 _MAX_PAUSE_S = 60.0
@@ -74,6 +73,12 @@
         """Return whether an upstream takes new requests, as far as it has announced."""
         return upstream not in self._leaving and not self._is_paused(upstream)
 
+    def accepting(self, upstreams: Sequence[UpstreamEntry]) -> Sequence[UpstreamEntry]:
+        """Return the upstreams that take new requests, as far as they announced."""
+        if not self._leaving and not self._paused_until:
+            return upstreams
+        return [u for u in upstreams if self.accepts_requests(u.incarnation)]
+
     def resumes_at(self, upstreams: Iterable[UpstreamIncarnation]) -> Deadline | None:
         """Return the first end of a pause, or None if no upstream only pauses."""
         ends = [
--- a/packages/forwarding/src/sardineyard/forwarding/quarantine.py
+++ b/packages/forwarding/src/sardineyard/forwarding/quarantine.py
@@ -40,13 +40,9 @@
 _MAX_PEERS = 1_000
 _MAX_SUCCESSES = 5_000
 _MAX_CRASHES = 1_000
-
-
 # Crashes from which a trait is refused. Every request that ran on a crashed upstream is
 # counted, whereas prompt parts with a success are not, so they need fewer crashes.
 _CRASH_LIMITS = {TraitKind.PROMPT_PART: 2, TraitKind.REQUEST: 3}
-
-
 # Maximum time in seconds between the crashes that processes state of one request for
 # these to count as one: an event that ends several upstreams, such as the loss of a
 # failure domain, is noticed by all processes at almost the same time.
@@ -197,8 +193,7 @@
         if trait.kind is TraitKind.PROMPT_PART:
             return self.crash_count(trait) + self._findings(trait)[Finding.CRASHED]
         crashes = self._crashes.get(trait)
-        own_times = [] if crashes is None else crashes.times
-        events = list(own_times)
+        events = [] if crashes is None else list(crashes.times)
         for time in sorted(self._stated_crash_times(trait)):
             if all(abs(time - event) > _SAME_EVENT_S for event in events):
                 events.append(time)
--- a/packages/gateway/src/sardineyard/gateway/attempts.py
+++ b/packages/gateway/src/sardineyard/gateway/attempts.py
@@ -25,8 +25,7 @@
     # The upstream ran the request and returned a complete error response.
     FAILED = "failed"
     UNKNOWN = "unknown"
-    # The upstream ended when it began to respond. The request may be the cause, so it
-    # is not sent to another one.
+    # The upstream ended. The request may be the cause, so no other one gets it.
     CRASHED = "crashed"
     # The call was cancelled to move its stream to another upstream; the retry budget
     # has already been charged.
--- a/packages/gateway/src/sardineyard/gateway/connections.py
+++ b/packages/gateway/src/sardineyard/gateway/connections.py
@@ -85,9 +85,9 @@
                 continue
             except (OSError, TimeoutError):
                 return False
-            has_ended = await connection.wait_ended(_PROBE_HOLD_S)
+            is_lost = await connection.wait_ended(_PROBE_HOLD_S)
             connection.close()
-            if not has_ended:
+            if not is_lost:
                 return False
         return False
 
@@ -129,6 +129,8 @@
     def close(self) -> None:
         """Close all idle connections; connections released later are closed at once."""
         self._is_closing = True
+        for probe in self._probes.values():
+            probe.cancel()
         for idle in self._idle.values():
             for _, connection in idle:
                 connection.close()
--- a/packages/gateway/src/sardineyard/gateway/dispatcher.py
+++ b/packages/gateway/src/sardineyard/gateway/dispatcher.py
@@ -35,6 +35,7 @@
 from sardineyard.gateway.state import GatewayDump, ServiceView
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from random import Random
 
     from sardineyard.core.clock import Clock, Deadline
@@ -272,12 +273,8 @@
     def _listed_upstreams(self, service: ServiceName) -> tuple[UpstreamEntry, ...]:
         return self._catalog.upstreams.get(service, ())
 
-    def _accepting_upstreams(self, service: ServiceName) -> list[UpstreamEntry]:
-        return [
-            entry
-            for entry in self._listed_upstreams(service)
-            if self.accepts_requests(entry)
-        ]
+    def _accepting_upstreams(self, service: ServiceName) -> Sequence[UpstreamEntry]:
+        return self._slots.announcements.accepting(self._listed_upstreams(service))
 
     def _available_upstreams(self, service: ServiceName) -> list[UpstreamEntry]:
         accepting = self._accepting_upstreams(service)
