Adopt a restarted upstream whose clock was set back

Cause: an entry with a lower start time was taken for a delayed write of an earlier incarnation, whatever its revision, for as long as the runner lived.

Change: a second entry with that start time, at a later revision and with none of the known incarnation in between, is adopted. A single delayed write is ignored as before.

--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -59,6 +59,8 @@
         self._records: dict[str, UpstreamRecord] = {}
         # Store revision of the removal, by upstream id.
         self._tombstones: dict[str, int] = {}
+        # Start time and store revision of the last ignored entry, by upstream id.
+        self._earlier_starts: dict[str, tuple[int, int]] = {}
         self._revision = 0
         # Revision after which every removal has a tombstone.
         self._removals_known_after = 0
@@ -155,10 +157,10 @@
         newest = max(known.revision if known else 0, self._tombstones.get(update.id, 0))
         if update.revision <= newest:
             return
-        if known is not None and entry.started_ms < known.entry.started_ms:
-            # A delayed write by an earlier incarnation of the same upstream id.
+        if known is not None and not self._is_current(update, entry, known):
             _log(update, "entry of an earlier incarnation ignored")
             return
+        self._earlier_starts.pop(update.id, None)
         listing = (
             ListingState.DRAINING
             if entry.phase is UpstreamPhase.DRAINING
@@ -171,6 +173,22 @@
         if known is None or known.listing is not listing or known.entry != entry:
             _log(update, listing.value)
 
+    def _is_current(
+        self, update: StoredUpstream, entry: UpstreamEntry, known: UpstreamRecord
+    ) -> bool:
+        """Return whether an entry comes from the incarnation that runs now.
+
+        A lower start time means a delayed write of an earlier incarnation, or a restart
+        after the time of day was set back. Only the latter goes on writing.
+        """
+        if entry.started_ms >= known.entry.started_ms:
+            return True
+        start, revision = self._earlier_starts.get(update.id, (None, 0))
+        if start == entry.started_ms and update.revision > revision:
+            return True
+        self._earlier_starts[update.id] = entry.started_ms, update.revision
+        return False
+
     def _remove(self, id: str, revision: int, *, after_outage: bool) -> None:
         known = self._records.get(id)
         if known is not None and known.revision > revision:
@@ -214,6 +232,7 @@
         while len(self._tombstones) > _MAX_TOMBSTONES:
             forgotten = self._tombstones.pop(next(iter(self._tombstones)))
             self._removals_known_after = max(self._removals_known_after, forgotten)
+        self._earlier_starts.pop(id, None)
         if self._records.pop(id, None) is not None:
             _log_id(id, revision, reason)
 
--- a/packages/forwarding/tests/test_listing.py
+++ b/packages/forwarding/tests/test_listing.py
@@ -103,6 +103,32 @@
     assert usable(registry) == {"u1"}
 
 
+def test_incarnation_that_starts_after_the_clock_was_set_back_is_adopted(
+    registry: UpstreamRegistry, make_update: Callable[..., StoredUpstream]
+) -> None:
+    """Guards against an upstream whose draining is ignored because its clock jumped."""
+    registry.merge([make_update("u1", 1, started_ms=2_000)], 1)
+    # The first entry may be a delayed write; peers and lists may repeat it.
+    for _ in range(3):
+        registry.merge([make_update("u1", 2, started_ms=1_000)], 2)
+        assert registry.usable()[SERVICE][0].started_ms == 2_000
+    registry.merge([make_update("u1", 3, started_ms=1_000)], 3)
+    assert registry.usable()[SERVICE][0].started_ms == 1_000
+    registry.merge([make_update("u1", 4, started_ms=1_000, draining=True)], 4)
+    assert registry.usable()[SERVICE] == ()
+
+
+def test_delayed_entries_do_not_add_up_over_entries_of_the_running_incarnation(
+    registry: UpstreamRegistry, make_update: Callable[..., StoredUpstream]
+) -> None:
+    """Guards against two late writes of an incarnation that is gone."""
+    registry.merge([make_update("u1", 1, started_ms=2_000)], 1)
+    registry.merge([make_update("u1", 2, started_ms=1_000)], 2)
+    registry.merge([make_update("u1", 3, started_ms=2_000)], 3)
+    registry.merge([make_update("u1", 4, started_ms=1_000, draining=True)], 4)
+    assert registry.usable()[SERVICE][0].started_ms == 2_000
+
+
 def test_entry_newer_than_snapshot_is_kept(
     registry: UpstreamRegistry, make_update: Callable[..., StoredUpstream]
 ) -> None:
