Add case 13: sound streams are refused for minutes after the loss of a zone

The part that all prompts share is blamed for the loss of several runners at once. The earlier case 13 becomes 14.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -u
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
