--- a/review/harness-3/runner.py
+++ b/review/harness-3/runner.py
@@ -34,6 +34,8 @@
 class Runner:
     """Runner that runs each request for a fixed time."""
 
+    zone = "zone-a"
+
     def __init__(
         self,
         id: str,
@@ -90,7 +92,7 @@
         return {
             "service": self.service,
             "address": f"{self.host}:{self.port}",
-            "zone": "zone-a",
+            "zone": self.zone,
             "version": 1,
             "slots": 6,
             "state": self._state,
