--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,6 +14,7 @@
 from world import (  # noqa: E402
     CONFIG_APPLY_S,
     STABLE_S,
+    STRETCH_S,
     has_trouble,
     make_config,
     play,
@@ -27,7 +28,6 @@
 _WORK_S = 0.0225
 _TIMEOUT_MS = 4000
 _AWAY_S = 1.5
-_TAIL_S = 10.0
 
 
 async def _play(world: World) -> bool:
@@ -65,7 +65,8 @@
         await drill
     stable_at = time.monotonic() + STABLE_S
     await asyncio.gather(*loads)
-    return _check(world, max(acknowledged_at + CONFIG_APPLY_S, stable_at))
+    applied_at = acknowledged_at + CONFIG_APPLY_S + STRETCH_S
+    return _check(world, max(applied_at, stable_at))
 
 
 def _check(world: World, in_force_at: float) -> bool:
