--- a/review/11/case.py
+++ b/review/11/case.py
@@ -17,13 +17,16 @@
     from world import World
 
 _PATH, _SERVICE, _KEY = "/book/", "booking-desk", "key-large-0001"
-_WORK_S = 0.09
+_WORK_S = 0.0225
+_GATEWAYS = 8
+# Bookings a second, to all gateways together.
+_PER_S = 6.0
 _TIMEOUT_MS = 4000
 # Changes of the configuration in the seconds that the store loses.
 _CHANGES, _CHANGE_GAP_S = 3, 1.0
 _AWAY_S = 1.0
 # Time for which the runner serves after its report of draining.
-_SERVES_S = 5.0
+_SERVES_S = 9.0
 
 
 async def _play(world: World) -> bool:
@@ -34,9 +37,9 @@
     for number in range(3):
         await world.add_runner(f"i-{number:08x}", _SERVICE, _WORK_S)
     await asyncio.sleep(0.5)
-    for _ in range(2):
+    for _ in range(_GATEWAYS):
         await world.add_gateway()
-    load = asyncio.create_task(world.send_for(22.0, 40.0, _PATH, _KEY, _TIMEOUT_MS))
+    load = asyncio.create_task(world.send_for(27.0, _PER_S, _PATH, _KEY, _TIMEOUT_MS))
     await asyncio.sleep(2.0)
 
     world.store.take_copy()
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Case 14: a gateway added after the drill learns the lost history from its peers."""
+"""Case 14: gateways added after the drill learn the lost history from their peers."""
 
 from __future__ import annotations
 
@@ -17,13 +17,16 @@
     from world import World
 
 _PATH, _SERVICE, _KEY = "/book/", "booking-desk", "key-large-0001"
-_WORK_S = 0.09
+_WORK_S = 0.0225
+_ADDED = 4
+# Bookings a second, to all gateways together.
+_PER_S = 6.0
 _TIMEOUT_MS = 4000
 # Changes of the configuration in the seconds that the store loses.
 _CHANGES, _CHANGE_GAP_S = 3, 1.0
 _AWAY_S = 1.0
 # Time for which the runner serves after its report of draining.
-_SERVES_S = 5.0
+_SERVES_S = 9.0
 
 
 async def _play(world: World) -> bool:
@@ -36,7 +39,7 @@
     await asyncio.sleep(0.5)
     for _ in range(2):
         await world.add_gateway()
-    load = asyncio.create_task(world.send_for(27.0, 60.0, _PATH, _KEY, _TIMEOUT_MS))
+    load = asyncio.create_task(world.send_for(32.0, _PER_S, _PATH, _KEY, _TIMEOUT_MS))
     await asyncio.sleep(2.0)
 
     world.store.take_copy()
@@ -57,7 +60,7 @@
 
     # The store has been without disruption for the bound, and its copy is history.
     await asyncio.sleep(STABLE_S)
-    added = await world.add_gateway()
+    added = [(await world.add_gateway()).name for _ in range(_ADDED)]
     in_touch_at = time.monotonic() + STABLE_S
     await asyncio.sleep(2 * STABLE_S)
     acknowledged_at = await leaving.drain()
@@ -68,11 +71,11 @@
     await load
 
     late_after = max(acknowledged_at + DRAIN_S, in_touch_at)
-    return _check(world, added.name, leaving.id, late_after, cut)
+    return _check(world, added, leaving.id, late_after, cut)
 
 
 def _check(
-    world: World, added: str, leaving: str, late_after: float, cut: set[str]
+    world: World, added: list[str], leaving: str, late_after: float, cut: set[str]
 ) -> bool:
     answers = {answer.request_id: answer for answer in world.answers}
     late = [
@@ -80,19 +83,20 @@
         for runner in world.runners
         for arrival in runner.arrivals
         if arrival.runner == leaving
-        and answers[arrival.request_id].gateway == added
+        and answers[arrival.request_id].gateway in added
         and answers[arrival.request_id].sent_at > late_after
     ]
     for arrival in late:
-        world.log(f"DRAIN: {arrival.request_id} reached {leaving} through {added}")
+        gateway = answers[arrival.request_id].gateway
+        world.log(f"DRAIN: {arrival.request_id} reached {leaving} through {gateway}")
     lost = [
         (i, answers[i].gateway, answers[i].status)
         for i in sorted(cut)
         if answers[i].status != 200
     ]
     world.log(
-        f"result: {len(late)} requests reached {leaving} too late through {added}, "
-        f"which was started after the drill; {len(lost)} bookings that ran there were "
+        f"result: {len(late)} requests reached {leaving} too late through the gateways "
+        f"that were started after the drill; {len(lost)} bookings that ran there were "
         f"lost: {lost}"
     )
     return not late
--- a/review/harness-3/rank_runner.py
+++ b/review/harness-3/rank_runner.py
@@ -33,10 +33,12 @@
     is_stalled: bool = False
     is_broken: bool = False
     epoch: int = 1
+    # Rank that broke the group.
+    at_fault: str = ""
 
     async def lose(self, lost: list[Rank]) -> None:
         """Crash ranks; the others stall, and then cut their work off."""
-        self.is_stalled = True
+        self.is_stalled, self.at_fault = True, lost[0].id
         for rank in lost:
             self.ranks.remove(rank)
             await rank.kill()
@@ -76,11 +78,8 @@
         headers = {HEADER["attempt_id"]: request_id}
         if request.header(HEADER["expect_runner"]) not in ("", self.id):
             return encode("HTTP/1.1 421 Other", headers)
-        not_run = encode(
-            "HTTP/1.1 503 Not run", {**headers, HEADER["not_executed"]: "1"}
-        )
         if self.group.is_broken or self._taken >= _SLOTS + _QUEUED:
-            return not_run
+            return self._not_run(headers)
         tenant = request.header(HEADER["tenant"])
         self.arrivals.append(
             Arrival(request_id, tenant, self.id, self.service, time.monotonic())
@@ -90,7 +89,7 @@
         try:
             async with self._slots:
                 if self.group.epoch != epoch:
-                    return not_run
+                    return self._not_run(headers)
                 self.ran.append(request_id)
                 await self.group.work(self._work_s)
         except _BrokenError:
@@ -101,3 +100,12 @@
         self.answered.add(request_id)
         headers[HEADER["seal"]] = f"{self.id}.{len(self.ran)}"
         return encode("HTTP/1.1 200 OK", headers, f"{request_id} drafted".encode())
+
+    def _not_run(self, headers: dict[str, str]) -> bytes:
+        at_fault = self.group.at_fault if self.group.is_broken else self.id
+        headers = {
+            **headers,
+            HEADER["not_executed"]: "1",
+            HEADER["at_fault"]: at_fault,
+        }
+        return encode("HTTP/1.1 503 Not run", headers)
--- a/review/harness-3/runner.py
+++ b/review/harness-3/runner.py
@@ -138,4 +138,6 @@
         await asyncio.sleep(self._work_s)
         self.answered.add(request_id)
         headers[HEADER["seal"]] = f"{self.id}.{len(self.ran)}"
+        if self._state == "draining":
+            headers |= {HEADER["leaving"]: "1", "Connection": "close"}
         return encode("HTTP/1.1 200 OK", headers, f"{request_id} booked".encode())
