Apply departures after the store returned from a copy

Requests reach a runner later than drainMs after its draining report was acknowledged, for as long as the revision of its earlier entry is the higher one; the same for removals, and a restart at a new address is not found.

Cause: the store gives revisions out again after it has returned from an older copy, and the registry drops each update that is not above the known revision. The header that tells the histories apart was not read.

Evidence: the log has store_history_lost and the new list; the entry in it was dropped by the comparison.

Entries that a list of a new era lacks lapse, as after an outage. A departure keeps the start of its incarnation and is undone by an entry of a later start only. A line store_era_changed says what was kept, lapsed and dropped.

--- a/packages/catalog/src/sardineyard/catalog/follower.py
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -12,7 +12,7 @@
     UpstreamsChanged,
     UpstreamsListed,
 )
-from sardineyard.forwarding.store import StoreError, StoreFailure
+from sardineyard.forwarding.store import BEGINNING, StoreError, StoreFailure
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -122,7 +122,7 @@
     async def poll(position: StorePosition | None) -> StorePosition | None:
         newest: StoredConfig | None
         if position is None:
-            newest = await store.read_config()
+            newest = (await store.read_config(BEGINNING.era)).newest
             tracker.record_success()
             if newest is None:
                 await asyncio.sleep(_NO_CONFIG_POLL_S)
@@ -150,7 +150,7 @@
 
     async def poll(position: StorePosition | None) -> StorePosition | None:
         if position is None:
-            snapshot = await store.read_upstreams()
+            snapshot = await store.read_upstreams(BEGINNING.era)
             tracker.record_success()
             mailbox.offer(UpstreamsListed(snapshot, tracker.is_after_outage))
             await asyncio.sleep(timing.pause_s)
--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -167,7 +167,12 @@
 
     def _decode_upstream(self, item: UpstreamUpdate) -> StoredUpstream:
         if item.raw is None:
-            return StoredUpstream(item.id, item.position, None)
+            return StoredUpstream(
+                item.id,
+                item.position,
+                None,
+                removed_start_ms=item.removed_start_ms,
+            )
         return self._store.decode_upstream(item.id, item.raw, item.position)
 
     def _build_update(self, receiver: PeerUpdate | None = None) -> PeerUpdate:
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -87,6 +87,8 @@
     position: StorePosition
     # Entry of the upstream as stored; None if it was removed.
     raw: bytes | None
+    # Start time of the incarnation that was removed; zero if it is not known.
+    removed_start_ms: int = 0
 
 
 class PeerUpdate(msgspec.Struct, frozen=True):
--- a/packages/catalog/tests/test_peers.py
+++ b/packages/catalog/tests/test_peers.py
@@ -313,7 +313,7 @@
             servers.append(server)
             catalog.start(watches_store=False)
             await catalog.store.put_config(ForwardingConfig(version, (), {}, ()))
-            stored = await catalog.store.read_config()
+            stored = (await catalog.store.read_config()).newest
             catalog.keeper.mailbox.post(ConfigReceived(stored, "store"))
             # Lets the starting process decode this version.
             await starting.store.put_config(ForwardingConfig(version, (), {}, ()))
--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -56,14 +56,32 @@
     usable_until: Deadline = NO_DEADLINE
 
 
+@dataclass(frozen=True, slots=True)
+class _Departure:
+    """Position at which an incarnation of an upstream was removed or began to drain."""
+
+    position: StorePosition
+    # Zero if it is not known.
+    started_ms: int
+
+    def is_undone_by_copy(self, entry: UpstreamEntry, position: StorePosition) -> bool:
+        """Return whether the store has restored the incarnation from an older copy."""
+        is_later_era = position.era > self.position.era
+        return is_later_era and 0 < entry.started_ms <= self.started_ms
+
+
 class UpstreamRegistry:
-    """Merges updates about upstreams; the later position in the store wins."""
+    """Merges updates about upstreams; the later position in the store wins.
+
+    A departure outlives the return of the store from an older copy: only an entry of a
+    later start makes an upstream usable again that had left before.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._records: dict[str, UpstreamRecord] = {}
-        # Position of the removal, by upstream id.
-        self._tombstones: dict[str, StorePosition] = {}
+        # Removals by upstream id.
+        self._tombstones: dict[str, _Departure] = {}
         # Start time and position of the last ignored entry, by upstream id.
         self._earlier_starts: dict[str, tuple[int, StorePosition]] = {}
         self._position = BEGINNING
@@ -112,14 +130,24 @@
         )
 
     def replace(self, snapshot: UpstreamSnapshot, *, after_outage: bool) -> None:
-        """Apply a full list; missing entries are removed, or lapse after an outage."""
-        if self._position == BEGINNING:
+        """Apply a full list; missing entries are removed, or lapse after an outage.
+
+        The copy from which the store has returned lacks the entries that were written
+        after it was made, so entries that are missing in a new era lapse as well.
+        """
+        previous = self._position
+        is_new_era = previous.era < snapshot.position.era
+        if previous == BEGINNING or is_new_era:
             self._removals_known_after = snapshot.position
+        known = set(self._records)
         present = {update.id for update in snapshot.entries}
+        may_lapse = after_outage or is_new_era
         for id, record in list(self._records.items()):
             if id not in present and record.position <= snapshot.position:
-                self._remove(id, snapshot.position, after_outage=after_outage)
+                self._remove(id, snapshot.position, after_outage=may_lapse)
         self.merge(snapshot.entries, snapshot.position, after_outage=after_outage)
+        if is_new_era and previous != BEGINNING:
+            self._log_new_era(previous, known)
 
     def merge(
         self,
@@ -137,34 +165,48 @@
                 # removed, maybe before this process started and kept removals.
                 continue
             if update.entry is None:
-                self._remove(update.id, update.position, after_outage=after_outage)
+                self._remove(
+                    update.id,
+                    update.position,
+                    update.removed_start_ms,
+                    after_outage=after_outage,
+                )
             else:
                 self._apply(update, update.entry)
         self._position = max(self._position, position)
 
     def changes_since(
         self, position: StorePosition
-    ) -> list[tuple[str, StorePosition, bytes | None]]:
-        """Return id, position and raw entry (None if removed) of later changes."""
+    ) -> list[tuple[str, StorePosition, bytes | None, int]]:
+        """Return id, position, raw entry and removed start time of later changes.
+
+        There is no raw entry if the upstream was removed.
+        """
         self._expire()
         listed = [
-            (id, record.position, record.raw)
+            (id, record.position, record.raw, 0)
             for id, record in self._records.items()
             if record.position > position and record.listing is not ListingState.LAPSED
         ]
         removed = [
-            (id, removed_at, None)
-            for id, removed_at in self._tombstones.items()
-            if removed_at > position
+            (id, removal.position, None, removal.started_ms)
+            for id, removal in self._tombstones.items()
+            if removal.position > position
         ]
         return [*listed, *removed]
 
     def _apply(self, update: StoredUpstream, entry: UpstreamEntry) -> None:
         known = self._records.get(update.id)
-        removed_at = self._tombstones.get(update.id, BEGINNING)
-        newest = max(known.position if known else BEGINNING, removed_at)
-        if update.position <= newest:
+        if known is not None and update.position <= known.position:
             return
+        departure = self._departure(update.id)
+        if departure is not None:
+            if update.position <= departure.position:
+                return
+            is_ready = entry.phase is UpstreamPhase.READY
+            if is_ready and departure.is_undone_by_copy(entry, update.position):
+                _log(update, "entry of an upstream that has left ignored")
+                return
         if known is not None and not self._is_current(update, entry, known):
             _log(update, "entry of an earlier incarnation ignored")
             return
@@ -192,24 +234,51 @@
         if entry.started_ms >= known.entry.started_ms:
             return True
         start, position = self._earlier_starts.get(update.id, (None, BEGINNING))
-        if start == entry.started_ms and update.position > position:
+        # The copy from which the store returned repeats entries in a new era.
+        is_same_era = position.era == update.position.era
+        if start == entry.started_ms and is_same_era and update.position > position:
             return True
         self._earlier_starts[update.id] = entry.started_ms, update.position
         return False
 
-    def _remove(self, id: str, position: StorePosition, *, after_outage: bool) -> None:
+    def _remove(
+        self,
+        id: str,
+        position: StorePosition,
+        started_ms: int = 0,
+        *,
+        after_outage: bool,
+    ) -> None:
         known = self._records.get(id)
-        if known is not None and known.position > position:
+        if known is None:
+            removed = self._tombstones.get(id)
+            if removed is None or removed.position < position:
+                started_ms = started_ms or (removed.started_ms if removed else 0)
+                self._drop(id, _Departure(position, started_ms), "removed")
             return
-        if known is not None and after_outage and known.listing is ListingState.LISTED:
-            known.listing = ListingState.LAPSED
-            known.position = position
-            known.usable_until = deadline_after(self._clock, _LAPSED_GRACE_S)
-            _log_id(id, position, "lapsed during a store outage")
+        departure = _Departure(position, started_ms or known.entry.started_ms)
+        if known.position > position and not departure.is_undone_by_copy(
+            known.entry, known.position
+        ):
             return
-        if known is not None and known.listing is ListingState.LAPSED and after_outage:
+        if after_outage and known.listing is not ListingState.DRAINING:
+            is_new_era = known.position.era < position.era
+            if known.listing is ListingState.LISTED or is_new_era:
+                known.listing = ListingState.LAPSED
+                known.position = position
+                known.usable_until = deadline_after(self._clock, _LAPSED_GRACE_S)
+                _log_id(id, position, "lapsed during a store outage")
             return
-        self._drop(id, position, "removed")
+        self._drop(id, departure, "removed")
+
+    def _departure(self, id: str) -> _Departure | None:
+        """Return what is known of the departure of an upstream."""
+        known = self._records.get(id)
+        if known is None:
+            return self._tombstones.get(id)
+        if known.listing is not ListingState.DRAINING:
+            return None
+        return _Departure(known.position, known.entry.started_ms)
 
     def _newest_by_address(self) -> dict[tuple[str, int], UpstreamRecord]:
         """Return the newest record of each address: the upstream that listens there.
@@ -230,19 +299,38 @@
             if record.usable_until <= now:
                 self._drop(
                     id,
-                    record.position,
+                    _Departure(record.position, record.entry.started_ms),
                     "removed: entry not renewed after the store outage",
                 )
 
-    def _drop(self, id: str, position: StorePosition, reason: str) -> None:
+    def _drop(self, id: str, departure: _Departure, reason: str) -> None:
         self._tombstones.pop(id, None)
-        self._tombstones[id] = position
+        self._tombstones[id] = departure
         while len(self._tombstones) > _MAX_TOMBSTONES:
             forgotten = self._tombstones.pop(next(iter(self._tombstones)))
-            self._removals_known_after = max(self._removals_known_after, forgotten)
+            self._removals_known_after = max(
+                self._removals_known_after, forgotten.position
+            )
         self._earlier_starts.pop(id, None)
         if self._records.pop(id, None) is not None:
-            _log_id(id, position, reason)
+            _log_id(id, departure.position, reason)
+
+    def _log_new_era(self, previous: StorePosition, known: set[str]) -> None:
+        listings = [self._records[id].listing for id in known & set(self._records)]
+        lapsed = listings.count(ListingState.LAPSED)
+        _logger.warning(
+            "the store returned from an older copy; upstreams were read again",
+            extra={
+                "event": "store_era_changed",
+                "era": self._position.era,
+                "revision": self._position.revision,
+                "previous_era": previous.era,
+                "previous_revision": previous.revision,
+                "kept": len(listings) - lapsed,
+                "lapsed": lapsed,
+                "dropped": len(known) - len(listings),
+            },
+        )
 
 
 def _recency_key(record: UpstreamRecord) -> tuple[bool, StorePosition]:
--- a/packages/forwarding/src/sardineyard/forwarding/store.py
+++ b/packages/forwarding/src/sardineyard/forwarding/store.py
@@ -21,18 +21,21 @@
     # The store rejected the call without executing it.
     REFUSED = "refused"
     TOO_MANY_CALLS = "too_many_calls"
-    # The store no longer keeps the changes since the requested revision.
+    # The store no longer has the history that the call relies on.
     HISTORY_LOST = "history_lost"
     UNREACHABLE = "unreachable"
     MALFORMED = "malformed"
 
 
 class StoreError(Exception):
-    """Raised when a call to the store fails."""
+    """Raised when a call to the store fails; has the era of the answer, if any."""
 
-    def __init__(self, failure: StoreFailure, detail: str = "") -> None:
+    def __init__(
+        self, failure: StoreFailure, detail: str = "", era: StoreEra | None = None
+    ) -> None:
         super().__init__(f"{failure.value}: {detail}")
         self.failure = failure
+        self.era = era
 
 
 class StorePosition(msgspec.Struct, frozen=True, order=True, array_like=True):
@@ -66,6 +69,8 @@
     position: StorePosition
     entry: UpstreamEntry | None
     raw: bytes = b""
+    # Start time of the incarnation that was removed; zero if it is not known.
+    removed_start_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,12 +98,15 @@
 
 
 class CatalogStore(Protocol):
-    """Interface to the store; every awaited call may raise StoreError."""
+    """Interface to the store; every awaited call may raise StoreError.
 
-    async def read_config(self) -> StoredConfig | None:
-        """Return the current configuration, or None if there is none yet."""
+    An answer that states no era is taken for one of the era that the call names.
+    """
+
+    async def read_config(self, era: StoreEra) -> ConfigChanges:
+        """Return the current configuration, if there is one, and its position."""
 
-    async def read_upstreams(self) -> UpstreamSnapshot:
+    async def read_upstreams(self, era: StoreEra) -> UpstreamSnapshot:
         """Return all listed upstreams."""
 
     async def watch_config(self, after: StorePosition, wait_s: float) -> ConfigChanges:
--- a/packages/httpio/src/sardineyard/httpio/call.py
+++ b/packages/httpio/src/sardineyard/httpio/call.py
@@ -41,6 +41,15 @@
     headers: HeaderList
 
 
+@dataclass(frozen=True, slots=True)
+class CallResponse:
+    """Complete response to a call."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
 class CallConnection:
     """Connection to a server, which carries one exchange at a time."""
 
@@ -282,8 +291,8 @@
 
     async def call(
         self, method: str, target: str, body: bytes = b"", content_type: str = ""
-    ) -> tuple[int, bytes]:
-        """Return status and body; raise OSError, TimeoutError or InvalidResponseError.
+    ) -> CallResponse:
+        """Return the response; raise OSError, TimeoutError or InvalidResponseError.
 
         A call that fails, or that is cancelled by a timeout, closes the connection.
         """
@@ -306,7 +315,7 @@
             self._connection = connection
         else:
             connection.close()
-        return head.status, response_body
+        return CallResponse(head.status, head.headers, response_body)
 
     def close(self) -> None:
         """Close the connection."""
--- a/packages/httpio/tests/test_response_status.py
+++ b/packages/httpio/tests/test_response_status.py
@@ -23,7 +23,7 @@
     """Send a GET request with the client of the gateway and of the adapter."""
     client = CallClient(address)
     try:
-        status, _ = await client.call("GET", "/")
+        status = (await client.call("GET", "/")).status
     finally:
         client.close()
     return status
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -14,6 +14,7 @@
     ResponseMetadata,
 )
 from sardineyard.forwarding.store import (
+    BEGINNING,
     ConfigChanges,
     StoredConfig,
     StoredUpstream,
@@ -84,12 +85,13 @@
             self._upstreams[id] = StoredUpstream(id, self._position, None)
             self._changed.notify_all()
 
-    async def read_config(self) -> StoredConfig | None:
-        """Return the configuration in force, or None before the first one."""
+    async def read_config(self, era: StoreEra = BEGINNING.era) -> ConfigChanges:
+        """Return the configuration in force, if there is one."""
         self._raise_failure()
-        return self._config
+        position = self._config.position if self._config else self._position
+        return ConfigChanges(self._config, position)
 
-    async def read_upstreams(self) -> UpstreamSnapshot:
+    async def read_upstreams(self, era: StoreEra = BEGINNING.era) -> UpstreamSnapshot:
         """Return all listed upstreams."""
         self._raise_failure()
         listed = tuple(r for r in self._upstreams.values() if r.entry is not None)
