Read everything again in a new era of the store

A version that is the first to be written after the store's return from a copy is never in force: bookings go to the older version's service, and a withdrawn key stays in use.

Cause: the processes go on to watch from the revision that they had. The new version has that revision, so no event follows, and no watch fails with 410. Only the era in the answers tells of the return.

Evidence: no config_adopted in the log of either gateway after the return, and no store_history_lost.

Change: StoreFollower replaces the two loops that watched the store. It compares the era of each answer, also of failed ones, with the known one. It reads everything once in a later era, within 0.4 s at a random time; an answer of an earlier era is a failed call. The keeper of the catalog tells the followers of each era, which ends a watch that waits, and ignores lists and changes of an earlier one. The first watch after a failure returns at once, since a watch waits for up to 6.5 s before its answer shows the era.

--- a/packages/catalog/src/sardineyard/catalog/follower.py
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -5,23 +5,38 @@
 import asyncio
 import logging
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import TYPE_CHECKING
 
 from sardineyard.catalog.messages import (
     ConfigReceived,
+    EraSeen,
+    SubscribeEras,
     UpstreamsChanged,
     UpstreamsListed,
 )
-from sardineyard.forwarding.store import BEGINNING, StoreError, StoreFailure
+from sardineyard.core.clock import Deadline, deadline_after, remaining
+from sardineyard.core.mailbox import Mailbox
+from sardineyard.forwarding.store import (
+    BEGINNING,
+    ConfigChanges,
+    StoreError,
+    StoreFailure,
+    UpstreamChanges,
+    UpstreamSnapshot,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from random import Random
 
+    from sardineyard.catalog.messages import (
+        EraRaised,
+    )
     from sardineyard.core.clock import Clock
-    from sardineyard.core.mailbox import Mailbox
+    from sardineyard.core.ids import StoreEra
     from sardineyard.core.tasks import TaskSet
-    from sardineyard.forwarding.store import CatalogStore, StoredConfig, StorePosition
+    from sardineyard.forwarding.store import CatalogStore, StoreAnswer, StorePosition
 
 _logger = logging.getLogger(__name__)
 
@@ -36,6 +51,12 @@
 # upstream could not renew it. The first successful call returns at once what changed
 # during the outage, so later removals are not lapses.
 _LAPSE_WINDOW_S = 0.5
+# Wait in seconds of the first watch after a failed call. Only an answer tells whether
+# the store has returned from an older copy, so it has to come at once.
+_FIRST_WATCH_WAIT_S = 0.001
+# Time in seconds within which the processes read everything in a new era. With 400 of
+# them the reads stay below the limit of the store.
+_NEW_ERA_SPREAD_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +86,11 @@
         self._recovered_at = float("-inf")
         self._call_started_at = float("-inf")
 
+    @property
+    def is_failing(self) -> bool:
+        """Return whether the last call failed."""
+        return self._failures > 0
+
     @property
     def is_after_outage(self) -> bool:
         """Return whether the store has only just recovered from an outage."""
@@ -111,58 +137,155 @@
         await asyncio.sleep(self._rng.uniform(0.3, 1.0) * bound)
 
 
-async def follow_config(
-    store: CatalogStore,
-    mailbox: Mailbox[object],
-    tracker: StoreCallTracker,
-    timing: WatchTiming,
-) -> None:
-    """Send the configuration and its changes to a mailbox until cancelled."""
+@singledispatch
+def _message_for(answer: object, *, after_outage: bool) -> object:
+    """Return the message to the keeper with an answer of the store."""
+    raise TypeError(f"unexpected answer {type(answer).__name__}")
 
-    async def poll(position: StorePosition | None) -> StorePosition | None:
-        newest: StoredConfig | None
-        if position is None:
-            newest = (await store.read_config(BEGINNING.era)).newest
-            tracker.record_success()
-            if newest is None:
-                await asyncio.sleep(_NO_CONFIG_POLL_S)
-                return None
-            position = newest.position
-        else:
-            changes = await store.watch_config(position, timing.next_timeout_s())
-            tracker.record_success()
-            newest, position = changes.newest, max(position, changes.position)
-        if newest is not None:
-            mailbox.offer(ConfigReceived(newest, "store"))
-            await asyncio.sleep(timing.pause_s)
-        return position
 
-    await _follow("config", poll, tracker)
+@_message_for.register
+def _(answer: UpstreamSnapshot, *, after_outage: bool) -> object:
+    return UpstreamsListed(answer, after_outage)
 
 
-async def follow_upstreams(
-    store: CatalogStore,
-    mailbox: Mailbox[object],
-    tracker: StoreCallTracker,
-    timing: WatchTiming,
-) -> None:
-    """Send all upstreams, then their changes, to a mailbox until cancelled."""
+@_message_for.register
+def _(answer: UpstreamChanges, *, after_outage: bool) -> object:
+    return UpstreamsChanged(answer, after_outage)
+
 
-    async def poll(position: StorePosition | None) -> StorePosition | None:
+@_message_for.register
+def _(answer: ConfigChanges, *, after_outage: bool) -> object:
+    return ConfigReceived(answer.newest, "store") if answer.newest else None
+
+
+class StoreFollower:
+    """Task that reads one part of the store, and then watches it.
+
+    It reads everything again in each new era of the store, whoever sees it first: this
+    task, another one of the process or a peer.
+    """
+
+    def __init__(
+        self,
+        subject: str,
+        read: Callable[[StoreEra], Awaitable[StoreAnswer]],
+        watch: Callable[[StorePosition, float], Awaitable[StoreAnswer]],
+        keeper: Mailbox[object],
+        clock: Clock,
+        timing: WatchTiming,
+    ) -> None:
+        self._subject = subject
+        self._read = read
+        self._watch = watch
+        self._keeper = keeper
+        self._clock = clock
+        self._timing = timing
+        self._tracker = StoreCallTracker(subject, clock, timing.rng)
+        self._eras: Mailbox[EraRaised] = Mailbox()
+        self._era = BEGINNING.era
+        # Position to watch from; None until everything has been read.
+        self._position: StorePosition | None = None
+        self._read_at = Deadline(0.0)
+
+    async def run(self) -> None:
+        """Send everything, then the changes, to the keeper until cancelled."""
+        self._keeper.post(SubscribeEras(self._eras))
+        while True:
+            try:
+                await self._poll()
+            except StoreError as error:
+                await self._handle_failure(error)
+
+    async def _poll(self) -> None:
+        while (raised := self._eras.receive_nowait()) is not None:
+            self._enter_era(raised.era)
+        position = self._position
         if position is None:
-            snapshot = await store.read_upstreams(BEGINNING.era)
-            tracker.record_success()
-            mailbox.offer(UpstreamsListed(snapshot, tracker.is_after_outage))
-            await asyncio.sleep(timing.pause_s)
-            return snapshot.position
-        changes = await store.watch_upstreams(position, timing.next_timeout_s())
-        tracker.record_success()
-        mailbox.offer(UpstreamsChanged(changes, tracker.is_after_outage))
-        if changes.changes:
-            await asyncio.sleep(timing.pause_s)
-        return max(position, changes.position)
+            await asyncio.sleep(remaining(self._clock, self._read_at))
+        self._tracker.record_start()
+        answer = await (
+            self._read(self._era)
+            if position is None
+            else self._watch_unless_era_rises(position)
+        )
+        if answer is None:
+            return
+        era = answer.position.era
+        if era < self._era:
+            raise StoreError(StoreFailure.OUTDATED, f"era {era}", era)
+        self._tracker.record_success()
+        if era > self._era:
+            self._enter_era(era)
+            if position is not None:
+                # Changes since a position of an earlier era are not complete.
+                return
+        self._position = _position_after(position, answer)
+        message = _message_for(answer, after_outage=self._tracker.is_after_outage)
+        if message is not None:
+            self._keeper.offer(message)
+        if answer.has_changes:
+            await asyncio.sleep(self._timing.pause_s)
+        elif self._position is None:
+            await asyncio.sleep(_NO_CONFIG_POLL_S)
+
+    async def _watch_unless_era_rises(
+        self, position: StorePosition
+    ) -> StoreAnswer | None:
+        """Return the answer of a watch, or None if a later era is known before it."""
+        is_first = self._tracker.is_failing
+        wait_s = _FIRST_WATCH_WAIT_S if is_first else self._timing.next_timeout_s()
+        watching = asyncio.ensure_future(self._watch(position, wait_s))
+        rising = asyncio.ensure_future(self._receive_later_era())
+        try:
+            await asyncio.wait((watching, rising), return_when=asyncio.FIRST_COMPLETED)
+            if not rising.done():
+                return watching.result()
+            self._enter_era(rising.result())
+            return None
+        finally:
+            watching.cancel()
+            rising.cancel()
+            await asyncio.gather(watching, rising, return_exceptions=True)
+
+    async def _receive_later_era(self) -> StoreEra:
+        while True:
+            era = (await self._eras.receive()).era
+            if era > self._era:
+                return era
+
+    def _enter_era(self, era: StoreEra) -> None:
+        """Read everything in a later era, at a time that differs between processes."""
+        if era <= self._era:
+            return
+        is_first = self._era == BEGINNING.era
+        delay_s = 0.0 if is_first else self._timing.rng.uniform(0, _NEW_ERA_SPREAD_S)
+        self._era, self._position = era, None
+        self._read_at = deadline_after(self._clock, delay_s)
+        self._keeper.offer(EraSeen(era))
+
+    async def _handle_failure(self, error: StoreError) -> None:
+        era = self._era if error.era is None else error.era
+        is_lost = error.failure is StoreFailure.HISTORY_LOST
+        if era > self._era:
+            self._enter_era(era)
+        elif is_lost and era == self._era and self._position is not None:
+            _log_history_lost(self._subject, self._position)
+            self._position = None
+        else:
+            is_lost = False
+        if not is_lost:
+            await self._tracker.back_off(error)
 
-    await _follow("upstreams", poll, tracker)
+
+def _position_after(
+    position: StorePosition | None, answer: StoreAnswer
+) -> StorePosition | None:
+    """Return the position to watch from after an answer."""
+    if position is not None:
+        return max(position, answer.position)
+    # Without a configuration there is nothing to watch yet.
+    is_missing = isinstance(answer, ConfigChanges) and answer.newest is None
+    return None if is_missing else answer.position
 
 
 def start_following(
@@ -173,28 +296,14 @@
     timing: WatchTiming,
 ) -> None:
     """Start the tasks that send the configuration and the upstreams to a mailbox."""
-    for name, follow in (("config", follow_config), ("upstreams", follow_upstreams)):
-        tracker = StoreCallTracker(name, clock, timing.rng)
-        tasks.start(name, follow(store, mailbox, tracker, timing))
-
-
-async def _follow(
-    subject: str,
-    poll: Callable[[StorePosition | None], Awaitable[StorePosition | None]],
-    tracker: StoreCallTracker,
-) -> None:
-    """Read everything, then watch for changes; start over if the history is lost."""
-    position: StorePosition | None = None
-    while True:
-        tracker.record_start()
-        try:
-            position = await poll(position)
-        except StoreError as error:
-            if error.failure is StoreFailure.HISTORY_LOST and position is not None:
-                _log_history_lost(subject, position)
-                position = None
-            else:
-                await tracker.back_off(error)
+    config = StoreFollower(
+        "config", store.read_config, store.watch_config, mailbox, clock, timing
+    )
+    upstreams = StoreFollower(
+        "upstreams", store.read_upstreams, store.watch_upstreams, mailbox, clock, timing
+    )
+    tasks.start("config", config.run())
+    tasks.start("upstreams", upstreams.run())
 
 
 def _log_history_lost(subject: str, position: StorePosition) -> None:
--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -13,9 +13,12 @@
     CatalogDump,
     ConfigReceived,
     DumpCatalog,
+    EraRaised,
+    EraSeen,
     PeerUpdate,
     PeerUpdateReceived,
     PrepareExchange,
+    SubscribeEras,
     UpstreamsChanged,
     UpstreamsListed,
     UpstreamUpdate,
@@ -30,6 +33,7 @@
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
+    from sardineyard.core.ids import StoreEra
     from sardineyard.forwarding.config import ForwardingConfig
     from sardineyard.forwarding.store import CatalogStore, StoredConfig, StorePosition
 
@@ -60,6 +64,9 @@
         self._config_source = ""
         # Version and compressed bytes of the configuration last sent to a peer.
         self._compressed_config = (0, b"")
+        # Latest era of the store that this process knows of.
+        self._era = BEGINNING.era
+        self._era_subscribers: list[Mailbox[EraRaised]] = []
         # Whether a full list of upstreams has been received.
         self._is_complete = False
         self._subscribers: list[Mailbox[object]] = []
@@ -109,16 +116,30 @@
 
     @_handle.register(UpstreamsListed)
     def _upstreams_listed(self, message: UpstreamsListed) -> None:
+        if self._is_outdated(message.snapshot.position, "store"):
+            return
+        self._raise_era(message.snapshot.position.era, "store")
         self._upstreams.replace(message.snapshot, after_outage=message.after_outage)
         self._is_complete = True
 
     @_handle.register(UpstreamsChanged)
     def _upstreams_changed(self, message: UpstreamsChanged) -> None:
         changes = message.changes
+        if self._is_outdated(changes.position, "store"):
+            return
         self._upstreams.merge(
             changes.changes, changes.position, after_outage=message.after_outage
         )
 
+    @_handle.register(SubscribeEras)
+    def _subscribe_eras(self, message: SubscribeEras) -> None:
+        self._era_subscribers.append(message.mailbox)
+        message.mailbox.offer(EraRaised(self._era))
+
+    @_handle.register(EraSeen)
+    def _era_seen(self, message: EraSeen) -> None:
+        self._raise_era(message.era, "store")
+
     @_handle.register(PrepareExchange)
     def _prepare_exchange(self, message: PrepareExchange) -> None:
         message.reply.send(self._build_update(message.receiver))
@@ -165,6 +186,38 @@
     def _version(self) -> int:
         return 0 if self._config is None else self._config.config.version
 
+    def _raise_era(self, era: StoreEra, source: str) -> None:
+        if era <= self._era:
+            return
+        _logger.info(
+            "the store has begun a new era",
+            extra={
+                "event": "store_era_seen",
+                "era": era,
+                "previous_era": self._era,
+                "source": source,
+            },
+        )
+        self._era = era
+        for subscriber in self._era_subscribers:
+            subscriber.offer(EraRaised(era))
+
+    def _is_outdated(self, position: StorePosition, source: str) -> bool:
+        """Return whether upstreams come from an earlier era than the known one."""
+        if position.era >= self._era:
+            return False
+        _logger.info(
+            "ignored upstreams of an earlier era of the store",
+            extra={
+                "event": "store_era_outdated",
+                "era": position.era,
+                "revision": position.revision,
+                "known_era": self._era,
+                "source": source,
+            },
+        )
+        return True
+
     def _decode_upstream(self, item: UpstreamUpdate) -> StoredUpstream:
         if item.raw is None:
             return StoredUpstream(
--- a/packages/catalog/src/sardineyard/catalog/messages.py
+++ b/packages/catalog/src/sardineyard/catalog/messages.py
@@ -10,8 +10,8 @@
 from sardineyard.forwarding.store import BEGINNING, StorePosition
 
 if TYPE_CHECKING:
-    from sardineyard.core.ids import ServiceName, UpstreamIncarnation
-    from sardineyard.core.mailbox import Reply
+    from sardineyard.core.ids import ServiceName, StoreEra, UpstreamIncarnation
+    from sardineyard.core.mailbox import Mailbox, Reply
     from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
     from sardineyard.forwarding.quarantine import PeerHost
     from sardineyard.forwarding.rate_limits import LimitStatement
@@ -49,6 +49,27 @@
     after_outage: bool
 
 
+@dataclass(frozen=True, slots=True)
+class EraSeen:
+    """Message with the era of an answer of the store."""
+
+    era: StoreEra
+
+
+@dataclass(frozen=True, slots=True)
+class EraRaised:
+    """Message to subscribers with the latest known era of the store."""
+
+    era: StoreEra
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribeEras:
+    """Request for a message about each later era of the store."""
+
+    mailbox: Mailbox[EraRaised]
+
+
 @dataclass(frozen=True, slots=True)
 class CatalogChanged:
     """Message to subscribers with the configuration and upstreams now in force."""
--- a/packages/catalog/tests/conftest.py
+++ b/packages/catalog/tests/conftest.py
@@ -34,12 +34,12 @@
         self.keeper = CatalogKeeper(store, self.clock, address)
         self.keeper.subscribe(self.changes)
 
-    def start(self, *, watches_store: bool = True) -> None:
+    def start(self, *, watches_store: bool = True, watch_s: float = 0.4) -> None:
         """Start the keeper and, by default, the tasks that watch the store."""
         self.tasks.start("keeper", self.keeper.run())
         if not watches_store:
             return
-        timing = WatchTiming(0.4, 0.0, Random(1))
+        timing = WatchTiming(watch_s, 0.0, Random(1))
         start_following(self.tasks, self.store, self.keeper.mailbox, self.clock, timing)
 
     async def wait_until(self, condition: Callable[[], bool]) -> None:
--- a/packages/forwarding/src/sardineyard/forwarding/store.py
+++ b/packages/forwarding/src/sardineyard/forwarding/store.py
@@ -21,6 +21,8 @@
     # The store rejected the call without executing it.
     REFUSED = "refused"
     TOO_MANY_CALLS = "too_many_calls"
+    # The answer is of an earlier era than the known one.
+    OUTDATED = "outdated"
     # The store no longer has the history that the call relies on.
     HISTORY_LOST = "history_lost"
     UNREACHABLE = "unreachable"
@@ -80,6 +82,11 @@
     entries: tuple[StoredUpstream, ...]
     position: StorePosition
 
+    @property
+    def has_changes(self) -> bool:
+        """Return whether anything may have changed."""
+        return True
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamChanges:
@@ -88,6 +95,11 @@
     changes: tuple[StoredUpstream, ...]
     position: StorePosition
 
+    @property
+    def has_changes(self) -> bool:
+        """Return whether anything has changed."""
+        return bool(self.changes)
+
 
 @dataclass(frozen=True, slots=True)
 class ConfigChanges:
@@ -96,6 +108,14 @@
     newest: StoredConfig | None
     position: StorePosition
 
+    @property
+    def has_changes(self) -> bool:
+        """Return whether there is a configuration."""
+        return self.newest is not None
+
+
+StoreAnswer = UpstreamSnapshot | UpstreamChanges | ConfigChanges
+
 
 class CatalogStore(Protocol):
     """Interface to the store; every awaited call may raise StoreError.
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -5,8 +5,8 @@
 import asyncio
 import socket
 import struct
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any
 
 from sardineyard.core.ids import PromptPartId, RequestId, Revision, StoreEra
 from sardineyard.forwarding.messages import (
@@ -48,9 +48,15 @@
 
 
 class MemoryStore:
-    """In-memory configuration and upstreams; implements CatalogStore."""
+    """In-memory configuration and upstreams; implements CatalogStore.
+
+    It returns from a copy without a failed call: only the era of its answers tells.
+    """
 
     def __init__(self) -> None:
+        # Number of full reads.
+        self.reads = 0
+        self._copy: tuple[StorePosition, Any, dict[str, StoredUpstream]] | None = None
         self._position = position_at(1)
         self._config: StoredConfig | None = None
         self._configs: dict[bytes, ForwardingConfig] = {}
@@ -85,27 +91,51 @@
             self._upstreams[id] = StoredUpstream(id, self._position, None)
             self._changed.notify_all()
 
+    def take_copy(self) -> None:
+        """Make the copy from which the store returns."""
+        self._copy = self._position, self._config, dict(self._upstreams)
+
+    def return_from_copy(self) -> None:
+        """Lose what was written since the copy was made, and begin the next era."""
+        assert self._copy is not None
+        position, config, upstreams = self._copy
+        era = self._position.era + 1
+
+        def in_era(position: StorePosition) -> StorePosition:
+            return position_at(position.revision, era)
+
+        self._position = in_era(position)
+        self._config = config and replace(config, position=in_era(config.position))
+        self._upstreams = {
+            id: replace(stored, position=in_era(stored.position))
+            for id, stored in upstreams.items()
+        }
+
     async def read_config(self, era: StoreEra = BEGINNING.era) -> ConfigChanges:
         """Return the configuration in force, if there is one."""
         self._raise_failure()
+        self.reads += 1
         position = self._config.position if self._config else self._position
         return ConfigChanges(self._config, position)
 
     async def read_upstreams(self, era: StoreEra = BEGINNING.era) -> UpstreamSnapshot:
         """Return all listed upstreams."""
         self._raise_failure()
+        self.reads += 1
         listed = tuple(r for r in self._upstreams.values() if r.entry is not None)
         return UpstreamSnapshot(listed, self._position)
 
     async def watch_config(self, after: StorePosition, wait_s: float) -> ConfigChanges:
         """Wait for a newer configuration."""
-        await self._wait(
-            lambda: self._config is not None and self._config.position > after, wait_s
-        )
-        newest = self._config
-        if newest is not None and newest.position <= after:
-            newest = None
-        return ConfigChanges(newest, self._position)
+
+        # The store compares revisions, and knows nothing of the caller's era.
+        def newer() -> StoredConfig | None:
+            stored = self._config
+            is_newer = stored and stored.position.revision > after.revision
+            return stored if is_newer else None
+
+        await self._wait(lambda: newer() is not None, wait_s)
+        return ConfigChanges(newer(), self._position)
 
     async def watch_upstreams(
         self, after: StorePosition, wait_s: float
@@ -114,7 +144,7 @@
 
         def newer() -> tuple[StoredUpstream, ...]:
             upstreams = self._upstreams.values()
-            return tuple(stored for stored in upstreams if stored.position > after)
+            return tuple(s for s in upstreams if s.position.revision > after.revision)
 
         await self._wait(lambda: bool(newer()), wait_s)
         return UpstreamChanges(newer(), self._position)
@@ -148,7 +178,7 @@
 
     def _raise_failure(self) -> None:
         if self.failure is not None:
-            raise StoreError(self.failure)
+            raise StoreError(self.failure, era=self._position.era)
 
 
 class PlainHeaders:
