Learn nothing of an earlier era of the store from peers

Gateways that are added after the store's return from a copy send requests to a runner later than drainMs after its draining report, which the store had never shown them with its lost revision.

Cause: exchanges and beacons compared bare revisions, so that a peer with the lost history looked newer and its entries hid the new ones.

Change: the keeper ignores upstreams of a peer of an earlier era. Only a full list crosses an era; it is sent while upstreams of the sender have lapsed, too, as they lapse at the receiver. The era of a peer is passed on to the followers of the store.

--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -147,25 +147,36 @@
     @_handle.register(PeerUpdateReceived)
     def _peer_update_received(self, message: PeerUpdateReceived) -> None:
         update = message.update
+        source = f"peer {update.address}"
         if update.config is not None and update.config_version > self._version:
             raw = _decompress(update.config, update.address)
             stored = None
             if raw is not None:
                 stored = self._store.decode_config(raw, update.config_position)
             if stored is not None:
-                self._adopt_config(stored, f"peer {update.address}")
-        upstreams = [self._decode_upstream(item) for item in update.upstreams]
-        if message.reply is None and update.is_complete:
+                self._adopt_config(stored, source)
+        if not self._is_outdated(update.upstream_position, source):
+            self._raise_era(update.upstream_position.era, source)
+            self._merge_peer_upstreams(update, is_reply=message.reply is None)
+        if message.reply is not None:
+            message.reply.send(self._build_update(receiver=update))
+
+    def _merge_peer_upstreams(self, update: PeerUpdate, *, is_reply: bool) -> None:
+        known, position = self._upstreams.position, update.upstream_position
+        is_full_reply = is_reply and update.is_complete and update.is_full_list
+        if known.era != position.era and known != BEGINNING and not is_full_reply:
+            # Changes since a position of another era are not complete.
+            return
+        upstreams = tuple(map(self._decode_upstream, update.upstreams))
+        if is_reply and update.is_complete:
             # A reply has every change that this process lacked up to that position.
-            if update.is_full_list:
-                snapshot = UpstreamSnapshot(tuple(upstreams), update.upstream_position)
+            if is_full_reply:
+                snapshot = UpstreamSnapshot(upstreams, position)
                 self._upstreams.replace(snapshot, after_outage=False)
-            self._upstreams.merge(upstreams, update.upstream_position, from_peer=True)
+            self._upstreams.merge(upstreams, position, from_peer=True)
             self._is_complete = True
         else:
             self._upstreams.merge(upstreams, BEGINNING, from_peer=True)
-        if message.reply is not None:
-            message.reply.send(self._build_update(receiver=update))
 
     @_handle.register(DumpCatalog)
     def _dump(self, message: DumpCatalog) -> None:
@@ -232,12 +243,19 @@
         config: bytes | None = None
         upstreams: tuple[UpstreamUpdate, ...] = ()
         is_full_list = False
+        # Lapsed upstreams are not sent, so a full list would remove them, except in a
+        # new era, in which they lapse at the receiver as well.
+        is_list_complete = not self._upstreams.has_lapsed
         if receiver is not None:
             if self._config is not None and receiver.config_version < self._version:
                 config = self._compress_config(self._config)
             position = receiver.upstream_position
             if position < self._upstreams.position:
-                is_full_list = position < self._upstreams.removals_known_after
+                crosses_era = position.era < self._upstreams.position.era
+                is_full_list = (
+                    crosses_era or position < self._upstreams.removals_known_after
+                )
+                is_list_complete |= crosses_era and position != BEGINNING
                 upstreams = tuple(
                     UpstreamUpdate(*change)
                     for change in self._upstreams.changes_since(
@@ -253,9 +271,7 @@
             if self._config is None
             else self._config.position,
             upstreams=upstreams,
-            # Lapsed upstreams are not sent, so a full list would remove them.
-            is_complete=self._is_complete
-            and not (is_full_list and self._upstreams.has_lapsed),
+            is_complete=self._is_complete and (is_list_complete or not is_full_list),
             is_full_list=is_full_list,
         )
 
