Split the departures and the tests of eras into modules of their own

Change: Departure has a module; the tests of what peers tell have a file; the entries and empty configurations of the tests come from the stand-ins. Nothing is logged about a peer that knows nothing yet. The assertions are the same.

--- a/packages/catalog/src/sardineyard/catalog/follower.py
+++ b/packages/catalog/src/sardineyard/catalog/follower.py
@@ -54,8 +54,8 @@
 # Wait in seconds of the first watch after a failed call. Only an answer tells whether
 # the store has returned from an older copy, so it has to come at once.
 _FIRST_WATCH_WAIT_S = 0.001
-# Time in seconds within which the processes read everything in a new era. With 400 of
-# them the reads stay below the limit of the store.
+# Time in seconds over which the processes spread their reads in a new era, so that they
+# do not reach the limit of the store together.
 _NEW_ERA_SPREAD_S = 0.4
 
 
--- a/packages/catalog/src/sardineyard/catalog/keeper.py
+++ b/packages/catalog/src/sardineyard/catalog/keeper.py
@@ -25,11 +25,7 @@
 )
 from sardineyard.core.mailbox import Mailbox
 from sardineyard.forwarding.listing import UpstreamRegistry
-from sardineyard.forwarding.store import (
-    BEGINNING,
-    StoredUpstream,
-    UpstreamSnapshot,
-)
+from sardineyard.forwarding.store import BEGINNING, StoredUpstream, UpstreamSnapshot
 
 if TYPE_CHECKING:
     from sardineyard.core.clock import Clock
@@ -155,8 +151,11 @@
                 stored = self._store.decode_config(raw, update.config_position)
             if stored is not None:
                 self._adopt_config(stored, source)
-        if not self._is_outdated(update.upstream_position, source):
-            self._raise_era(update.upstream_position.era, source)
+        position = update.upstream_position
+        # A process that has just started has not read the store yet.
+        is_empty = position == BEGINNING
+        if not is_empty and not self._is_outdated(position, source):
+            self._raise_era(position.era, source)
             self._merge_peer_upstreams(update, is_reply=message.reply is None)
         if message.reply is not None:
             message.reply.send(self._build_update(receiver=update))
@@ -231,11 +230,9 @@
 
     def _decode_upstream(self, item: UpstreamUpdate) -> StoredUpstream:
         if item.raw is None:
+            start_ms = item.removed_start_ms
             return StoredUpstream(
-                item.id,
-                item.position,
-                None,
-                removed_start_ms=item.removed_start_ms,
+                item.id, item.position, None, removed_start_ms=start_ms
             )
         return self._store.decode_upstream(item.id, item.raw, item.position)
 
--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -9,6 +9,7 @@
 
 from sardineyard.core.clock import NO_DEADLINE, deadline_after
 from sardineyard.forwarding.config import UpstreamPhase
+from sardineyard.forwarding.departures import Departure
 from sardineyard.forwarding.store import BEGINNING
 
 if TYPE_CHECKING:
@@ -56,20 +57,6 @@
     usable_until: Deadline = NO_DEADLINE
 
 
-@dataclass(frozen=True, slots=True)
-class _Departure:
-    """Position at which an incarnation of an upstream was removed or began to drain."""
-
-    position: StorePosition
-    # Zero if it is not known.
-    started_ms: int
-
-    def is_undone_by_copy(self, entry: UpstreamEntry, position: StorePosition) -> bool:
-        """Return whether the store has restored the incarnation from an older copy."""
-        is_later_era = position.era > self.position.era
-        return is_later_era and 0 < entry.started_ms <= self.started_ms
-
-
 class UpstreamRegistry:
     """Merges updates about upstreams; the later position in the store wins.
 
@@ -81,7 +68,7 @@
         self._clock = clock
         self._records: dict[str, UpstreamRecord] = {}
         # Removals by upstream id.
-        self._tombstones: dict[str, _Departure] = {}
+        self._tombstones: dict[str, Departure] = {}
         # Start time and position of the last ignored entry, by upstream id.
         self._earlier_starts: dict[str, tuple[int, StorePosition]] = {}
         self._position = BEGINNING
@@ -254,9 +241,9 @@
             removed = self._tombstones.get(id)
             if removed is None or removed.position < position:
                 started_ms = started_ms or (removed.started_ms if removed else 0)
-                self._drop(id, _Departure(position, started_ms), "removed")
+                self._drop(id, Departure(position, started_ms), "removed")
             return
-        departure = _Departure(position, started_ms or known.entry.started_ms)
+        departure = Departure(position, started_ms or known.entry.started_ms)
         if known.position > position and not departure.is_undone_by_copy(
             known.entry, known.position
         ):
@@ -271,14 +258,14 @@
             return
         self._drop(id, departure, "removed")
 
-    def _departure(self, id: str) -> _Departure | None:
+    def _departure(self, id: str) -> Departure | None:
         """Return what is known of the departure of an upstream."""
         known = self._records.get(id)
         if known is None:
             return self._tombstones.get(id)
         if known.listing is not ListingState.DRAINING:
             return None
-        return _Departure(known.position, known.entry.started_ms)
+        return Departure(known.position, known.entry.started_ms)
 
     def _newest_by_address(self) -> dict[tuple[str, int], UpstreamRecord]:
         """Return the newest record of each address: the upstream that listens there.
@@ -299,11 +286,11 @@
             if record.usable_until <= now:
                 self._drop(
                     id,
-                    _Departure(record.position, record.entry.started_ms),
+                    Departure(record.position, record.entry.started_ms),
                     "removed: entry not renewed after the store outage",
                 )
 
-    def _drop(self, id: str, departure: _Departure, reason: str) -> None:
+    def _drop(self, id: str, departure: Departure, reason: str) -> None:
         self._tombstones.pop(id, None)
         self._tombstones[id] = departure
         while len(self._tombstones) > _MAX_TOMBSTONES:
--- a/packages/standins/src/sardineyard/standins/gateway_doubles.py
+++ b/packages/standins/src/sardineyard/standins/gateway_doubles.py
@@ -8,7 +8,19 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
-from sardineyard.core.ids import PromptPartId, RequestId, Revision, StoreEra
+from sardineyard.core.ids import (
+    FailureDomain,
+    PromptPartId,
+    RequestId,
+    Revision,
+    ServiceName,
+    StoreEra,
+)
+from sardineyard.forwarding.config import (
+    ForwardingConfig,
+    UpstreamEntry,
+    UpstreamPhase,
+)
 from sardineyard.forwarding.messages import (
     RequestMetadata,
     ResponseMetadata,
@@ -28,7 +40,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from sardineyard.forwarding.config import ForwardingConfig, UpstreamEntry
     from sardineyard.forwarding.messages import (
         ForwardedMetadata,
         HeaderList,
@@ -47,6 +58,19 @@
     return StorePosition(StoreEra(era), Revision(revision))
 
 
+def empty_config(version: int) -> ForwardingConfig:
+    """Return a configuration without routes."""
+    return ForwardingConfig(version, (), {}, ())
+
+
+def ready_entry(id: str) -> UpstreamEntry:
+    """Return the entry of an upstream with an address of its own."""
+    port = 80 + sum(id.encode())
+    domain, phase = FailureDomain("a"), UpstreamPhase.READY
+    service = ServiceName("desk")
+    return UpstreamEntry(id, service, "127.0.0.1", port, domain, 4, phase, 1)
+
+
 class MemoryStore:
     """In-memory configuration and upstreams; implements CatalogStore.
 
