Use a restart with an earlier start after the store's return

An upstream that had left before the return and restarts under its id with its clock set back has a lower start time, and was taken for the departed incarnation until its next restart.

Change: as for listed upstreams, a lower start time that writes twice in one era is the one that runs.

--- a/packages/forwarding/src/sardineyard/forwarding/listing.py
+++ b/packages/forwarding/src/sardineyard/forwarding/listing.py
@@ -190,11 +190,13 @@
         if departure is not None:
             if update.position <= departure.position:
                 return
-            is_ready = entry.phase is UpstreamPhase.READY
-            if is_ready and departure.is_undone_by_copy(entry, update.position):
+            if entry.phase is UpstreamPhase.READY and self._has_left(
+                update, entry, departure
+            ):
                 _log(update, "entry of an upstream that has left ignored")
                 return
-        if known is not None and not self._is_current(update, entry, known):
+        is_earlier = known is not None and entry.started_ms < known.entry.started_ms
+        if is_earlier and not self._goes_on_writing(update, entry):
             _log(update, "entry of an earlier incarnation ignored")
             return
         self._earlier_starts.pop(update.id, None)
@@ -210,16 +212,21 @@
         if known is None or known.listing is not listing or known.entry != entry:
             _log(update, listing.value)
 
-    def _is_current(
-        self, update: StoredUpstream, entry: UpstreamEntry, known: UpstreamRecord
+    def _has_left(
+        self, update: StoredUpstream, entry: UpstreamEntry, departure: Departure
     ) -> bool:
-        """Return whether an entry comes from the incarnation that runs now.
+        """Return whether an older copy of the store has restored an entry."""
+        if not departure.is_undone_by_copy(entry, update.position):
+            return False
+        is_same_start = entry.started_ms == departure.started_ms
+        return is_same_start or not self._goes_on_writing(update, entry)
+
+    def _goes_on_writing(self, update: StoredUpstream, entry: UpstreamEntry) -> bool:
+        """Return whether an incarnation with a lower start time runs now.
 
         A lower start time means a delayed write of an earlier incarnation, or a restart
         after the time of day was set back. Only the latter goes on writing.
         """
-        if entry.started_ms >= known.entry.started_ms:
-            return True
         start, position = self._earlier_starts.get(update.id, (None, BEGINNING))
         # The copy from which the store returned repeats entries in a new era.
         is_same_era = position.era == update.position.era
--- a/packages/forwarding/tests/test_listing.py
+++ b/packages/forwarding/tests/test_listing.py
@@ -310,3 +310,16 @@
     assert registry.usable()[SERVICE][0].started_ms == 2
     registry.merge([make_update("u1", 42, era=2, started_ms=1)], position_at(42, era=2))
     assert registry.usable()[SERVICE][0].started_ms == 1
+
+
+def test_restart_with_an_earlier_start_after_the_return_gets_requests(
+    registry: UpstreamRegistry, make_update: Callable[..., StoredUpstream]
+) -> None:
+    """Guards against an upstream that stays unused, as its clock was set back."""
+    registry.merge([make_update("u1", 40, era=1, started_ms=5)], position_at(40, era=1))
+    removal = StoredUpstream("u1", position_at(41, era=1), None)
+    registry.merge([removal], position_at(41, era=1))
+    for revision, expected in ((20, set()), (21, {"u1"})):
+        restarted = make_update("u1", revision, era=2, started_ms=3)
+        registry.merge([restarted], restarted.position)
+        assert usable(registry) == expected
